--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,783 @@
+// The decisions of lupinsill: which media node a subscription joins, at which rung, or whether it is
+// throttled. Called through Control::handle (control.h) with one event at a time; every answer it gives
+// is an Action appended to the caller's list. handle() turns the event's ids into parts, puts a note into
+// one part's inbox and lets the post office empty the inboxes; parts reach each other in no other way.
+#include "control.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+
+namespace lupinsill {
+namespace {
+
+constexpr Micros second = 1'000'000;
+
+// The marks of the gate, in parts of a link or uplink. The paper's 85% and 70% of busy threads.
+constexpr double highMark = 0.92;
+constexpr double lowMark = 0.80;
+constexpr double aimMark = 0.88;        // where steps of playing subscriptions bring a limit back to
+constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
+constexpr Micros openHold = 500'000;    // the paper holds 10 s, a quarter of a subscription's life here
+constexpr double spareShare = 0.5;      // of the spare room, per second
+constexpr double rateSpread = 0.15;     // titles run this far over their rung's rate
+constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
+constexpr Micros tickSpan = 200'000;
+constexpr Micros dwell = 4 * second;    // between two steps of one subscription
+
+// What happened over the last Span, counted in buckets of time that are used again.
+template <int Buckets>
+class Tally {
+ public:
+  explicit Tally(Micros span) : width_(std::max<Micros>(1, span / Buckets)) {}
+  void add(Micros now, double amount) {
+    roll(now);
+    sums_[slot(bucket_)] += amount;
+  }
+  double sum(Micros now) {
+    roll(now);
+    double total = 0;
+    for (double s : sums_) total += s;
+    return total;
+  }
+
+ private:
+  static std::size_t slot(Micros bucket) { return static_cast<std::size_t>(bucket % (Buckets + 1)); }
+  void roll(Micros now) {
+    const Micros current = now / width_;
+    if (current - bucket_ > Buckets) sums_.fill(0);
+    while (bucket_ < current) {
+      if (current - bucket_ > Buckets) bucket_ = current - Buckets - 1;
+      sums_[slot(++bucket_)] = 0;
+    }
+  }
+  Micros width_;
+  Micros bucket_ = 0;
+  std::array<double, Buckets + 1> sums_{};
+};
+
+// What a figure was at a moment not long past: late notes speak of then, not of now.
+class Trace {
+ public:
+  void set(Micros now, double value) {
+    roll(now);
+    values_[slot(bucket_)] = value;
+  }
+  double at(Micros now, Micros age) {
+    roll(now);
+    return values_[slot(bucket_ - std::clamp<Micros>(age / width, 0, depth - 1))];
+  }
+
+ private:
+  static constexpr Micros width = 100'000;
+  static constexpr Micros depth = 64;
+  static std::size_t slot(Micros bucket) { return static_cast<std::size_t>((bucket + depth) % depth); }
+  void roll(Micros now) {
+    const Micros current = now / width;
+    if (bucket_ == 0) bucket_ = current;
+    const double last = values_[slot(bucket_)];
+    if (current - bucket_ > depth) bucket_ = current - depth;
+    while (bucket_ < current) values_[slot(++bucket_)] = last;
+  }
+  Micros bucket_ = 0;
+  std::array<double, depth> values_{};
+};
+
+struct Node;
+struct Rack;
+
+// An answer of a media node to the desk's question what it could do for a subscription.
+struct Offer {
+  Node* node = nullptr;
+  bool open = false;
+  bool fit = false;        // ready, healthy and, where cold, in its pace
+  bool overShare = false;
+  double use = 0;
+  int rung = 0;
+};
+
+// A viewer's subscription as the desk holds it, from the request to the end of its last join.
+struct Sub {
+  SubId id = 0;
+  const RoomType* room = nullptr;
+  int roomIndex = 0;
+  Viewing viewing;
+  Node* at = nullptr;        // the join that is out, or where it plays
+  Node* ran = nullptr;       // a join that may have run there: binds where it may go again
+  Micros ranSent = 0;
+  Micros sent = 0;
+  Micros stepped = 0;
+  std::vector<Node*> tried;
+  std::size_t asked = 0;     // holders whose offers the desk awaits
+  std::vector<Offer> offers;
+  int joins = 0;
+  int rung = 0;
+  double kb = 0;             // what it was charged at its node
+  bool playing = false;
+  bool answered = false;
+  bool courtesy = false;
+  bool toldLink = false;     // the note at set-up has come
+};
+
+struct Ask { Sub* sub; };
+struct Take { Sub* sub; int rung; };
+struct Play { Sub* sub; Micros took; };
+struct Leave { Sub* sub; Outcome outcome; LoadReport report; };
+struct Hear { Sub* sub; Reading reading; double value; };
+struct Listed { ListEntry entry; };
+struct Tick {};
+struct UplinkUse { double use; };
+struct UplinkLoad { double kb; };
+struct UplinkSeen { double use; Micros age; };
+struct Start { Sub* sub; };
+struct Offered { Sub* sub; Offer offer; };
+struct Outcomes { Sub* sub; Outcome outcome; bool settled; };
+
+using Note = std::variant<Ask, Take, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Start,
+                          Offered, Outcomes>;
+
+struct Post;
+
+struct Part {
+  explicit Part(Post& office) : post(office) {}
+  virtual ~Part() = default;
+  virtual void read(const Note& note) = 0;
+  Post& post;
+  std::deque<Note> inbox;
+};
+
+// The one loop: parts whose inboxes hold notes, in the order in which they were written to.
+struct Post {
+  explicit Post(Terms handed, std::uint64_t seed)
+      : terms(std::move(handed)), chance(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+  void send(Part& to, Note note) {
+    to.inbox.push_back(std::move(note));
+    due.push_back(&to);
+  }
+  void run() {
+    while (!due.empty()) {
+      Part& part = *due.front();
+      due.pop_front();
+      const Note note = std::move(part.inbox.front());
+      part.inbox.pop_front();
+      part.read(note);
+    }
+  }
+  Terms terms;
+  std::minstd_rand chance;
+  Micros now = 0;
+  Micros born = 0;
+  std::vector<Action>* out = nullptr;
+  std::deque<Part*> due;
+};
+
+// A limit as last read: its use then, and what of it was ours then.
+struct Gauge {
+  double use = 0;
+  double oursThen = 0;
+  Micros readAt = 0;
+  bool known = false;
+
+  double now(double ours, double capacity) const { return std::max(0.0, use + (ours - oursThen) / capacity); }
+};
+
+struct Rack : Part {
+  using Part::Part;
+  std::vector<Node*> nodes;
+  Gauge gauge;
+  Trace trace;
+  double kb = 0;
+
+  double use() const {
+    if (!gauge.known) return kb * post.terms.directors / std::max(1.0, post.terms.rackKb);
+    return gauge.now(kb, std::max(1.0, post.terms.rackKb));
+  }
+  void read(const Note& note) override;
+  void tell();
+};
+
+struct Node : Part {
+  Node(Post& office, Part& front, NodeId number) : Part(office), desk(&front), id(number) {}
+  Part* desk;
+  NodeId id;
+  NodeState state = NodeState::gone;
+  std::string zone;
+  int cell = 0;
+  int kind = 0;
+  double weight = 1;
+  Micros readyAt = 0;
+  Rack* rack = nullptr;
+
+  std::vector<Sub*> subs;
+  double kb = 0;
+  Trace trace;
+  Gauge link;
+  double rackUse = 0;
+  double delivered = 1;
+  Micros deliveredAt = 0;
+  bool closed = false;
+  Micros overSince = 0;
+  Micros underSince = 0;
+  Tally<10> admitted{second};
+  int strikes = 0;
+  Micros shutUntil = 0;
+  Micros lostAt = 0;      // a sign that the process died: whatever comes back is cold
+  Micros pacedAt = 0;
+  Micros reactedAt = 0;
+
+  const Terms& terms() const { return post.terms; }
+  int places() const {
+    const auto k = static_cast<std::size_t>(kind);
+    return k < terms().placesByKind.size() ? std::max(1, terms().placesByKind[k]) : 1;
+  }
+  double warmth() const {
+    const Micros age = post.now - std::max(readyAt, lostAt);
+    if (terms().coldTime <= 0 || age >= terms().coldTime) return 1;
+    return terms().startCapacity +
+           (1 - terms().startCapacity) * static_cast<double>(std::max<Micros>(0, age)) /
+               static_cast<double>(terms().coldTime);
+  }
+  double capacity() const { return std::max(1.0, terms().weightKb * weight * warmth()); }
+  double rate(const Sub& sub, int rung) const {
+    return terms().ladderKb[static_cast<std::size_t>(rung)] * sub.room->rateFactor;
+  }
+  double charge(const Sub& sub, int rung) const {
+    const bool shared = sub.room->live && std::any_of(subs.begin(), subs.end(), [&](const Sub* other) {
+      return other != &sub && other->room == sub.room && other->rung == rung &&
+             other->viewing.title == sub.viewing.title;
+    });
+    return rate(sub, rung) * (shared ? terms().joinAdds : 1);
+  }
+  double linkUse() const;
+  double use() const { return std::max(linkUse(), rackUse); }
+  bool shortNow() const {
+    return delivered < 0.98 && post.now - deliveredAt < 2 * second + terms().seenAfter;
+  }
+  void setKb(Sub& sub, double charged);
+  bool cold() const;
+  bool paced() const;
+  bool healthy(const Sub& sub) const;
+  void gate();
+  void strike(int hard);
+  void readLink(double value, Micros age, bool capped);
+  void react();
+  void read(const Note& note) override;
+  void answer(Sub& sub);
+  void take(Sub& sub, int rung);
+  void leave(Sub& sub, Outcome outcome, const LoadReport& report);
+  void hear(Sub& sub, Reading reading, double value);
+  void listed(const ListEntry& entry);
+};
+
+struct Desk : Part {
+  explicit Desk(Post& office)
+      : Part(office),
+        requests(office.terms.furtherJoins ? office.terms.furtherJoins->window : second),
+        further(office.terms.furtherJoins ? office.terms.furtherJoins->window : second) {}
+  std::map<SubId, std::unique_ptr<Sub>> subs;
+  std::map<NodeId, std::unique_ptr<Node>> nodes;
+  std::map<int, std::unique_ptr<Rack>> racks;
+  std::map<std::pair<std::string, int>, int> seats;
+  std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
+  std::map<int, Tally<10>> partyRate;
+  Tally<20> requests;
+  Tally<20> further;
+  Tally<8> setUpTime{16 * second};
+  Tally<8> setUps{16 * second};
+
+  Micros now() const { return post.now; }
+  template <class A>
+  void act(A action) { post.out->push_back(std::move(action)); }
+  void read(const Note& note) override;
+  void start(Sub& sub);
+  void place(Sub& sub);
+  void decide(Sub& sub);
+  void join(Sub& sub, const Offer& offer);
+  void ended(Sub& sub, Outcome outcome, bool settled);
+  void giveUp(Sub& sub);
+  void forget(Sub& sub);
+  bool mayJoin(const Sub& sub);
+  Micros patience(const Sub& sub);
+  int& seatsTaken(const Sub& sub) { return seats[{sub.viewing.title, sub.roomIndex}]; }
+};
+
+// ---- rack ----
+
+void Rack::read(const Note& note) {
+  if (const auto* load = std::get_if<UplinkLoad>(&note)) {
+    kb += load->kb;
+    trace.set(post.now, kb);
+  } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
+    gauge = {seen->use, trace.at(post.now, seen->age), post.now, true};
+  }
+  tell();
+}
+
+void Rack::tell() {
+  const double told = use();
+  for (Node* node : nodes) post.send(*node, UplinkUse{told});
+}
+
+// ---- media node ----
+
+double Node::linkUse() const {
+  double ours = link.known ? link.now(kb, capacity()) : kb * terms().directors / capacity();
+  // A reading nobody renews says less and less: a node that looked full must get a trial some day.
+  const Micros stale = post.now - link.readAt - 3 * terms().reportsEvery - terms().seenAfter;
+  if (link.known && terms().reportsEvery > 0 && stale > 0 && ours > lowMark)
+    ours = std::max(lowMark * 0.9, ours - 0.1 * static_cast<double>(stale) / second);
+  if (shortNow() && !link.known) ours = std::max(ours, 1 / std::max(0.05, delivered));
+  return ours;
+}
+
+void Node::setKb(Sub& sub, double charged) {
+  kb += charged - sub.kb;
+  if (subs.empty()) kb = 0;
+  if (rack) post.send(*rack, UplinkLoad{charged - sub.kb});
+  sub.kb = charged;
+  trace.set(post.now, kb);
+}
+
+bool Node::cold() const {
+  return terms().coldTime > 0 && post.now - std::max(readyAt, lostAt) < terms().coldTime;
+}
+
+// Guards against pushing a cold node over, all directors together: time is cut into turns of one set-up at
+// half the multiple allowed, and each director sends in the first half of its own turns only, so no two
+// sends of different directors meet. A restarted director keeps to its turns without any memory. For a
+// while after its own start any node may have restarted unseen, and sends are spaced.
+bool Node::paced() const {
+  const bool unsure = post.now - post.born < terms().coldTime;
+  if (!cold() && !unsure) return true;
+  const double perSecond = places() / (static_cast<double>(terms().coldTime) / second) * terms().startCapacity *
+                           std::max(0.5, 0.5 * terms().overloadFactor);
+  const auto turn = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(second) / perSecond));
+  if (!cold()) return post.now - pacedAt >= turn * terms().directors / 2;
+  return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
+         post.now - pacedAt >= turn;
+}
+
+// A node that answers nothing or fails what it gets looks idle and would draw everybody. It is shut while a
+// join there waits longer than set-ups take, after failures, and then takes one trial at a time.
+bool Node::healthy(const Sub& sub) const {
+  if (post.now < shutUntil) return false;
+  if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return false;
+  bool waiting = false;
+  for (const Sub* other : subs) {
+    if (other->playing) continue;
+    waiting = true;
+    if (post.now - other->sent > 500'000) return false;
+  }
+  return strikes == 0 || (!waiting && sub.room->effect != Effect::once);
+}
+
+void Node::gate() {
+  const double u = use();
+  if (!closed) {
+    if (u < highMark) overSince = 0;
+    else if (overSince == 0) overSince = post.now;
+    if (overSince != 0 && post.now - overSince >= closeHold) closed = true, underSince = 0;
+  } else {
+    if (u > lowMark) underSince = 0;
+    else if (underSince == 0) underSince = post.now;
+    if (underSince != 0 && post.now - underSince >= openHold) closed = false, overSince = 0;
+  }
+}
+
+void Node::strike(int hard) {
+  strikes = std::min(5, strikes + hard);
+  shutUntil = std::max(shutUntil, post.now + (second / 2 << strikes));
+}
+
+void Node::readLink(double value, Micros age, bool capped) {
+  if (capped && link.known && link.now(kb, capacity()) >= 1) return;
+  link = {value, trace.at(post.now, age), post.now, true};
+}
+
+void Node::answer(Sub& sub) {
+  gate();
+  Offer offer{this, !closed, state == NodeState::ready && healthy(sub) && paced(), false, use(), sub.room->floor};
+  const double room = std::max(0.0, std::min((highMark - linkUse()) * capacity(),
+                                             (highMark - rackUse) * std::max(1.0, terms().rackKb)));
+  const double recent = admitted.sum(post.now);
+  const double share = spareShare * (room + recent) - recent;
+  const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
+  offer.rung = sub.room->floor;
+  for (int rung = sub.room->floor; rung <= top; ++rung)
+    if (rate(sub, rung) * (1 + rateSpread) <= share) offer.rung = rung;
+  offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
+  post.send(*desk, Offered{&sub, offer});
+}
+
+void Node::take(Sub& sub, int rung) {
+  subs.push_back(&sub);
+  sub.rung = rung;
+  setKb(sub, charge(sub, rung));
+  admitted.add(post.now, sub.kb);
+  pacedAt = post.now;
+}
+
+void Node::leave(Sub& sub, Outcome outcome, const LoadReport& report) {
+  setKb(sub, 0);
+  std::erase(subs, &sub);
+  if (subs.empty()) kb = 0;
+  switch (outcome) {
+    case Outcome::error:
+    case Outcome::timeout:
+      strike(1);
+      break;
+    case Outcome::connectFailed:
+    case Outcome::reset:
+      lostAt = post.now;
+      strike(1);
+      break;
+    case Outcome::full:
+      shutUntil = std::max(shutUntil, post.now + second);
+      if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0, false);
+      break;
+    default:
+      break;
+  }
+  if (report.linkUse) readLink(*report.linkUse, 300'000, false);
+  else if (report.linkShare) readLink(*report.linkShare, 300'000, *report.linkShare > 0.98);
+  if (report.uplinkUse && rack) post.send(*rack, UplinkSeen{*report.uplinkUse, 300'000});
+  gate();
+}
+
+void Node::hear(Sub& sub, Reading reading, double value) {
+  const Micros age = sub.toldLink ? terms().seenAfter : 0;
+  switch (reading) {
+    case Reading::delivered:
+      delivered = value;
+      deliveredAt = post.now;
+      break;
+    case Reading::rung:
+      sub.rung = std::clamp(static_cast<int>(value), 0, static_cast<int>(terms().ladderKb.size()) - 1);
+      setKb(sub, charge(sub, sub.rung));
+      break;
+    case Reading::link:
+      readLink(value, age, false);
+      if (!sub.toldLink) sub.toldLink = true;
+      else react();
+      break;
+    case Reading::uplink:
+      if (rack) post.send(*rack, UplinkSeen{value, age});
+      break;
+  }
+  gate();
+}
+
+// A departure from leaving playing subscriptions alone: once per round of notes, a node over the high mark
+// gives back its own part of the excess and one under the low mark takes up its own part of the room. Every
+// director hears the same note, so each scales only what is its own.
+void Node::react() {
+  if (post.now - reactedAt < second) return;
+  const double u = use();
+  if (u <= 0 || (u >= lowMark && u <= highMark) || (shortNow() && delivered < 0.4)) return;
+  reactedAt = post.now;
+  const double goal = kb * std::min(aimMark / u, 1.5);
+  const auto gainPerKb = [&](const Sub& sub, int rung) {  // of the step from rung to rung + 1
+    const auto r = static_cast<std::size_t>(rung);
+    return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
+           std::max(1.0, rate(sub, rung + 1) - rate(sub, rung));
+  };
+  std::vector<std::pair<Sub*, int>> plan;
+  double planned = 0;
+  for (Sub* sub : subs) {
+    planned += sub->kb;
+    if (sub->playing && post.now - sub->stepped >= dwell) plan.emplace_back(sub, sub->rung);
+  }
+  while (true) {
+    std::pair<Sub*, int>* best = nullptr;
+    double bestGain = 0;
+    for (auto& entry : plan) {
+      auto& [sub, rung] = entry;
+      const int top = std::min(sub->viewing.top, sub->room->top);
+      if (u > highMark ? rung <= sub->room->floor : rung >= top) continue;
+      const double gain = u > highMark ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
+      if (best == nullptr || gain > bestGain) best = &entry, bestGain = gain;
+    }
+    if (best == nullptr) break;
+    auto& [sub, rung] = *best;
+    const double change = u > highMark ? rate(*sub, rung - 1) - rate(*sub, rung) : rate(*sub, rung + 1) - rate(*sub, rung);
+    if (u > highMark ? planned <= goal : planned + change > goal) break;
+    planned += change;
+    rung += u > highMark ? -1 : 1;
+  }
+  for (auto& [sub, rung] : plan) {
+    if (rung == sub->rung) continue;
+    sub->rung = rung;
+    sub->stepped = post.now;
+    setKb(*sub, charge(*sub, rung));
+    post.out->push_back(SetRung{sub->id, rung});
+  }
+}
+
+void Node::listed(const ListEntry& entry) {
+  state = entry.state;
+  kind = entry.kind;
+  weight = entry.weight;
+  cell = entry.cell;
+  zone = entry.zone;
+  if (entry.readyAt > readyAt) {
+    readyAt = entry.readyAt;
+    if (post.now - readyAt < terms().coldTime) strikes = 0, shutUntil = 0, link = {};
+  }
+}
+
+void Node::read(const Note& note) {
+  std::visit(
+      [this](const auto& n) {
+        using N = std::decay_t<decltype(n)>;
+        if constexpr (std::is_same_v<N, Ask>) answer(*n.sub);
+        if constexpr (std::is_same_v<N, Take>) take(*n.sub, n.rung);
+        if constexpr (std::is_same_v<N, Leave>) leave(*n.sub, n.outcome, n.report);
+        if constexpr (std::is_same_v<N, Hear>) hear(*n.sub, n.reading, n.value);
+        if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
+        if constexpr (std::is_same_v<N, Tick>) gate();
+        if constexpr (std::is_same_v<N, UplinkUse>) rackUse = n.use;
+        if constexpr (std::is_same_v<N, Play>) strikes = std::max(0, strikes - 1);
+      },
+      note);
+}
+
+// ---- desk ----
+
+void Desk::read(const Note& note) {
+  if (const auto* s = std::get_if<Start>(&note)) start(*s->sub);
+  if (const auto* o = std::get_if<Outcomes>(&note)) ended(*o->sub, o->outcome, o->settled);
+  if (const auto* o = std::get_if<Offered>(&note)) {
+    o->sub->offers.push_back(o->offer);
+    if (o->sub->offers.size() == o->sub->asked) decide(*o->sub);
+  }
+}
+
+void Desk::start(Sub& sub) {
+  requests.add(now(), 1);
+  if (sub.viewing.party >= 0) partyRate.try_emplace(sub.viewing.party, second).first->second.add(now(), 1);
+  const auto it = broken.find(sub.viewing.viewer);
+  sub.courtesy = sub.viewing.moved || (it != broken.end() && now() < it->second);
+  if (it != broken.end()) broken.erase(it);
+  place(sub);
+}
+
+bool Desk::mayJoin(const Sub& sub) {
+  const Terms& terms = post.terms;
+  if (sub.joins >= terms.maxJoins || sub.viewing.giveUpAt - now() < 50'000) return false;
+  if (sub.room->seats > 0 && seatsTaken(sub) >= sub.room->seats) return false;
+  if (sub.joins > 0 && terms.furtherJoins &&
+      further.sum(now()) + 1 > terms.furtherJoins->few + terms.furtherJoins->share * requests.sum(now()) * 0.9)
+    return false;
+  if (sub.ran == nullptr || sub.room->effect == Effect::repeatable) return true;
+  return sub.room->effect == Effect::byKey && now() - sub.ranSent < sub.room->window;
+}
+
+void Desk::place(Sub& sub) {
+  if (!mayJoin(sub)) return giveUp(sub);
+  std::vector<Node*> holders;
+  const int cells = std::max(1, post.terms.cells);
+  for (auto& [id, node] : nodes) {
+    const int offset = ((node->cell - sub.viewing.firstCell) % cells + cells) % cells;
+    if (node->state != NodeState::ready || offset >= sub.viewing.holders) continue;
+    if (sub.ran != nullptr && sub.room->effect == Effect::byKey) {
+      if (sub.room->group == Group::zone && node->zone != sub.ran->zone) continue;
+      if (sub.room->group == Group::cell && node->cell != sub.ran->cell) continue;
+    }
+    holders.push_back(node.get());
+  }
+  if (holders.empty()) return giveUp(sub);
+  sub.asked = holders.size();
+  for (Node* node : holders) post.send(*node, Ask{&sub});
+}
+
+void Desk::decide(Sub& sub) {
+  std::vector<Offer> offers = std::move(sub.offers);
+  sub.offers.clear();
+  const auto tried = [&](const Offer& o) {
+    return std::find(sub.tried.begin(), sub.tried.end(), o.node) != sub.tried.end();
+  };
+  std::erase_if(offers, [](const Offer& o) { return !o.fit; });
+  if (std::any_of(offers.begin(), offers.end(), [&](const Offer& o) { return !tried(o); }))
+    std::erase_if(offers, tried);
+  std::vector<Offer> open;
+  for (const bool home : {true, false}) {
+    for (const Offer& o : offers)
+      if (o.open && (o.node->zone == post.terms.zone) == home) open.push_back(o);
+    if (!open.empty()) break;
+  }
+  if (open.empty() && sub.courtesy) open = offers;
+  if (open.empty()) return giveUp(sub);
+  const auto draw = [&] {
+    const std::size_t pick = post.chance() % open.size();
+    const Offer drawn = open[pick];
+    open.erase(open.begin() + static_cast<std::ptrdiff_t>(pick));
+    return drawn;
+  };
+  Offer best = draw();
+  if (!open.empty()) {
+    Offer other = draw();
+    if (other.use < best.use) std::swap(best, other);
+    if (best.overShare && !other.overShare) best = other;
+  }
+  if (best.overShare && !sub.courtesy) return giveUp(sub);
+  join(sub, best);
+}
+
+void Desk::join(Sub& sub, const Offer& offer) {
+  if (sub.joins > 0) further.add(now(), 1);
+  ++sub.joins;
+  sub.tried.push_back(offer.node);
+  sub.at = offer.node;
+  sub.sent = now();
+  sub.rung = offer.rung;
+  ++seatsTaken(sub);
+  post.send(*offer.node, Take{&sub, offer.rung});
+  act(SetRung{sub.id, offer.rung});
+  act(Join{sub.id, offer.node->id, patience(sub)});
+}
+
+// Leaves time for another join within the join objective, but only where another is allowed.
+Micros Desk::patience(const Sub& sub) {
+  if (sub.room->effect == Effect::once || sub.joins >= post.terms.maxJoins) return 0;
+  const Micros left = sub.viewing.giveUpAt - now();
+  const Micros wait = std::max<Micros>(300'000, sub.room->joinObjective / 2);
+  return left < wait + 300'000 ? 0 : wait;
+}
+
+void Desk::ended(Sub& sub, Outcome outcome, bool settled) {
+  --seatsTaken(sub);
+  Node* node = sub.at;
+  sub.at = nullptr;
+  const bool mayHaveRun = outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot;
+  if (mayHaveRun) sub.ran = node, sub.ranSent = sub.sent;
+  if (sub.playing && outcome != Outcome::ok) {
+    broken[sub.viewing.viewer] = now() + courtesySpan;
+  }
+  if (settled || sub.answered) return forget(sub);
+  place(sub);
+}
+
+// The final answer, at once: throttled where the rules let the viewer come again, terminated otherwise.
+void Desk::giveUp(Sub& sub) {
+  const bool mayReturn = sub.ran == nullptr || sub.room->effect == Effect::repeatable ||
+                         (sub.room->effect == Effect::byKey && sub.room->group == Group::all);
+  if (mayReturn)
+    act(Throttle{sub.id, post.terms.retryAfter ? std::min<Micros>(post.terms.maxRetryAfter, 500'000) : 0});
+  else
+    act(Terminate{sub.id});
+  forget(sub);
+}
+
+void Desk::forget(Sub& sub) {
+  subs.erase(sub.id);
+}
+
+}  // namespace
+
+// ---- the door: the one place where ids are looked up ----
+
+struct Control::Parts {
+  Parts(Terms terms, std::uint64_t seed) : post(std::move(terms), seed), desk(post) {}
+  Post post;
+  Desk desk;
+
+  Sub* find(SubId id) {
+    const auto it = desk.subs.find(id);
+    return it == desk.subs.end() ? nullptr : it->second.get();
+  }
+  Node& node(NodeId id) {
+    auto& slot = desk.nodes[id];
+    if (!slot) slot = std::make_unique<Node>(post, desk, id);
+    return *slot;
+  }
+  Sub& admit(const Viewing& viewing) {
+    auto sub = std::make_unique<Sub>();
+    sub->id = viewing.sub;
+    sub->viewing = viewing;
+    sub->roomIndex = viewing.roomType;
+    sub->room = &post.terms.roomTypes[static_cast<std::size_t>(viewing.roomType)];
+    Sub& held = *sub;
+    desk.subs[viewing.sub] = std::move(sub);
+    return held;
+  }
+
+  void on(const ListTold& told) {
+    if (told.kind == ListKind::lost) return;
+    if (told.kind != ListKind::changes)
+      for (auto& [id, n] : desk.nodes) n->state = NodeState::gone;
+    for (const ListEntry& entry : told.entries) {
+      Node& n = node(entry.node);
+      if (n.rack == nullptr && post.terms.racks > 0) {
+        auto& rack = desk.racks[entry.cell % post.terms.racks];
+        if (!rack) rack = std::make_unique<Rack>(post);
+        n.rack = rack.get();
+        rack->nodes.push_back(&n);
+      }
+      post.send(n, Listed{entry});
+    }
+  }
+  void on(const Requested& e) { post.send(desk, Start{&admit(e.viewing)}); }
+  void on(const UnderWay& e) {
+    Sub& sub = admit(e.viewing);
+    sub.playing = sub.answered = true;
+    sub.toldLink = true;
+    sub.joins = 1;
+    sub.at = &node(e.node);
+    sub.rung = sub.room->floor;
+    ++desk.seatsTaken(sub);
+    post.send(*sub.at, Take{&sub, sub.rung});
+  }
+  void on(const Began& e) {
+    Sub* sub = find(e.sub);
+    if (sub == nullptr || sub->at == nullptr) return;
+    sub->playing = sub->answered = true;
+    post.send(*sub->at, Play{sub, e.took});
+  }
+  void on(const Noted& e) {
+    Sub* sub = find(e.sub);
+    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node) return;
+    post.send(*sub->at, Hear{sub, e.reading, e.value});
+  }
+  void on(const JoinEnded& e) {
+    Sub* sub = find(e.sub);
+    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node) return;
+    post.send(*sub->at, Leave{sub, e.outcome, e.report});
+    post.send(desk, Outcomes{sub, e.outcome, e.settled});
+  }
+  void on(const Lapsed& e) {
+    Sub* sub = find(e.sub);
+    if (sub == nullptr) return;
+    sub->answered = true;
+    if (sub->at == nullptr) return desk.forget(*sub);
+    if (!sub->playing && post.terms.cancelling) desk.act(CallOff{sub->id, sub->joins - 1});
+  }
+  void on(const AlarmRang&) {
+    for (auto& [id, n] : desk.nodes) post.send(*n, Tick{});
+    desk.act(SetAlarm{0, tickSpan});
+  }
+};
+
+Control::Control(Terms terms, std::uint64_t seed) : parts_(std::make_unique<Parts>(std::move(terms), seed)) {}
+Control::~Control() = default;
+Control::Control(Control&&) noexcept = default;
+Control& Control::operator=(Control&&) noexcept = default;
+
+void Control::handle(Micros now, const Event& event, std::vector<Action>& actions) {
+  Post& post = parts_->post;
+  post.now = now;
+  post.out = &actions;
+  if (post.born == 0) {
+    post.born = now;
+    actions.push_back(SetAlarm{0, tickSpan});
+    if (post.terms.listOnRequest) actions.push_back(FollowList{});
+  }
+  std::visit([&](const auto& e) { parts_->on(e); }, event);
+  post.run();
+  if (const auto* told = std::get_if<ListTold>(&event); told != nullptr && told->kind == ListKind::lost)
+    actions.push_back(FollowList{});
+}
+
+}  // namespace lupinsill
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,207 @@
+// The interface of the decision module: typed events in, typed actions out, no wire.
+// A director makes one Control per instance with the terms it was handed, feeds it events in the order
+// they arrive and carries out the actions that come back. Times are whole microseconds on one clock.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lupinsill {
+
+using Micros = std::int64_t;
+using SubId = std::uint64_t;
+using NodeId = std::uint32_t;
+
+enum class Effect { repeatable, byKey, once };
+enum class Group { all, zone, cell };
+enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+enum class NodeState { ready, draining, gone };
+enum class ListKind { changes, total, warmCopy, lost };
+enum class Reading { delivered, rung, link, uplink };
+
+struct RoomType {
+  std::string name;
+  Effect effect = Effect::repeatable;
+  Group group = Group::all;
+  Micros window = 0;
+  Micros joinObjective = 0;
+  double benefit = 1;
+  double rateFactor = 1;
+  int floor = 0;
+  int top = 0;
+  int seats = 0;
+  bool live = false;
+};
+
+struct Party {
+  std::string name;
+  double quotaPerSecond = 0;
+};
+
+struct FurtherJoins {
+  int few = 0;
+  double share = 0;
+  Micros window = 0;
+};
+
+// What a deployment states at start, as far as the decisions read it.
+struct Terms {
+  std::vector<RoomType> roomTypes;
+  std::vector<Party> parties;
+  std::vector<double> ladderKb;
+  std::vector<double> rungBenefit;
+  std::vector<int> placesByKind;
+  std::optional<FurtherJoins> furtherJoins;
+  std::string zone;
+  int directors = 1;
+  int ordinal = 0;
+  int cells = 0;
+  int racks = 0;
+  int maxJoins = 1;
+  double weightKb = 0;
+  double rackKb = 0;
+  double joinAdds = 1;
+  double refusesFrom = 0;
+  double startCapacity = 1;
+  double overloadFactor = 1;
+  double switchSeconds = 0;
+  Micros coldTime = 0;
+  Micros fallTime = 0;
+  Micros seenAfter = 0;
+  Micros reportsEvery = 0;
+  Micros maxRetryAfter = 0;
+  bool retryAfter = false;
+  bool cancelling = false;
+  bool listOnRequest = false;
+};
+
+struct ListEntry {
+  NodeId node = 0;
+  NodeState state = NodeState::ready;
+  int kind = 0;
+  double weight = 1;
+  int cell = 0;
+  Micros readyAt = 0;
+  std::string zone;
+};
+
+struct ListTold {
+  ListKind kind = ListKind::changes;
+  std::vector<ListEntry> entries;
+};
+
+struct Viewing {
+  SubId sub = 0;
+  std::string title;
+  std::string viewer;
+  int roomType = 0;
+  int party = -1;
+  int firstCell = 0;
+  int holders = 0;
+  int top = 0;
+  Micros giveUpAt = 0;
+  std::optional<Micros> length;
+  bool moved = false;
+};
+
+struct Requested {
+  Viewing viewing;
+};
+
+struct UnderWay {
+  Viewing viewing;
+  NodeId node = 0;
+};
+
+struct Began {
+  SubId sub = 0;
+  int join = 0;
+  Micros took = 0;
+};
+
+struct Noted {
+  SubId sub = 0;
+  NodeId node = 0;
+  Reading reading = Reading::delivered;
+  double value = 0;
+};
+
+struct LoadReport {
+  std::optional<double> linkShare;  // asked of the link, 1 at most
+  std::optional<double> linkUse;    // asked over given
+  std::optional<double> uplinkUse;
+  std::optional<double> streams;
+};
+
+struct JoinEnded {
+  SubId sub = 0;
+  NodeId node = 0;
+  int join = 0;
+  Outcome outcome = Outcome::ok;
+  bool settled = false;
+  LoadReport report;
+};
+
+struct Lapsed {
+  SubId sub = 0;
+};
+
+struct AlarmRang {
+  std::int64_t key = 0;
+};
+
+using Event = std::variant<ListTold, Requested, UnderWay, Began, Noted, JoinEnded, Lapsed, AlarmRang>;
+
+struct SetRung {
+  SubId sub;
+  int rung;
+};
+
+struct Join {
+  SubId sub;
+  NodeId node;
+  Micros patience;  // 0: until the client timeout
+};
+
+struct CallOff {
+  SubId sub;
+  int join;
+};
+
+struct Throttle {
+  SubId sub;
+  Micros retryAfter;  // 0: no advice
+};
+
+struct Terminate {
+  SubId sub;
+};
+
+struct SetAlarm {
+  std::int64_t key;
+  Micros span;
+};
+
+struct FollowList {};
+
+using Action = std::variant<SetRung, Join, CallOff, Throttle, Terminate, SetAlarm, FollowList>;
+
+class Control {
+ public:
+  Control(Terms terms, std::uint64_t seed);
+  ~Control();
+  Control(Control&&) noexcept;
+  Control& operator=(Control&&) noexcept;
+
+  void handle(Micros now, const Event& event, std::vector<Action>& actions);
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace lupinsill
--- /dev/null
+++ b/src/drill/host.cpp
@@ -0,0 +1,77 @@
+#include "host.h"
+
+#include <utility>
+
+namespace lupinsill::drill {
+
+std::string Host::play(const std::string& line) {
+  Json batch;
+  try {
+    batch = Json::parse(line);
+  } catch (const Json::exception& e) {
+    throw BadInput(std::string("batch: not JSON: ") + e.what());
+  }
+  if (!batch.is_object()) throw BadInput("batch: not an object");
+  if (!batch.contains("wallNs")) throw BadInput("wallNs: missing");
+  if (!batch.contains("inbox") || !batch["inbox"].is_array()) throw BadInput("inbox: missing or not an array");
+  const Micros now = clockOf(batch["wallNs"]);
+  Json out = Json::array();
+  std::size_t place = 0;
+  for (const Json& message : batch["inbox"]) {
+    try {
+      play(now, message, out);
+    } catch (const BadInput& e) {
+      throw BadInput("inbox[" + std::to_string(place) + "]: " + e.what());
+    }
+    ++place;
+  }
+  return Json{{"out", std::move(out)}}.dump();
+}
+
+void Host::play(Micros now, const Json& array, Json& out) {
+  const Message message(array);
+  if (message.name() == "Page") {
+    const std::int64_t number = message.whole(1, "buffer");
+    if (number < 0 || number >= static_cast<std::int64_t>(pages_.size())) throw BadInput("buffer: out of range");
+    checkRows(message.value(2));
+    pages_[static_cast<std::size_t>(number)] = message.value(2);
+    return;
+  }
+  if (!isKnownEvent(message.name())) throw BadInput("unknown event '" + message.name() + "'");
+  const std::int64_t who = message.whole(1, "who");
+  if (message.name() == "OpenInstance") {
+    if (!message.value(2).is_number_integer()) throw BadInput("seed: not a whole number");
+    Names names;
+    Terms terms = termsOf(message.value(3), names);
+    instances_.erase(who);
+    instances_.emplace(
+        who, Instance{std::move(names), Control(std::move(terms), message.value(2).get<std::uint64_t>())});
+    return;
+  }
+  const auto it = instances_.find(who);
+  if (it == instances_.end()) throw BadInput("who: no instance " + std::to_string(who) + " runs");
+  if (message.name() == "Stop") {
+    instances_.erase(it);
+    return;
+  }
+  Instance& instance = it->second;
+  std::vector<Event> events;
+  if (message.name() == "BackendsChanged") {
+    ListTold told{listKindOf(message.text(2, "kind")), {}};
+    if (told.kind != ListKind::lost) {
+      const std::int64_t number = message.whole(4, "buffer");
+      if (number < 0 || number >= static_cast<std::int64_t>(pages_.size()) ||
+          pages_[static_cast<std::size_t>(number)].is_null())
+        throw BadInput("buffer: no such list");
+      told.entries = entriesOf(pages_[static_cast<std::size_t>(number)], instance.names);
+    }
+    events.push_back(std::move(told));
+  } else {
+    events = eventOf(message, instance.names);
+  }
+  std::vector<Action> actions;
+  for (const Event& event : events) instance.control.handle(now, event, actions);
+  for (const Action& action : actions) out.push_back(wireOf(who, action));
+}
+
+}  // namespace lupinsill::drill
--- /dev/null
+++ b/src/drill/host.h
@@ -0,0 +1,28 @@
+// Hosts the instances of one process: each has a module and names of its own, and they share nothing.
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+
+#include "codec.h"
+
+namespace lupinsill::drill {
+
+class Host {
+ public:
+  // Plays one batch and returns the reply's line; throws BadInput on what the wire does not allow.
+  std::string play(const std::string& line);
+
+ private:
+  struct Instance {
+    Names names;
+    Control control;
+  };
+  void play(Micros now, const Json& message, Json& out);
+
+  std::map<std::int64_t, Instance> instances_;
+  std::array<Json, 16> pages_;
+};
+
+}  // namespace lupinsill::drill
