--- a/src/control.cpp
+++ b/src/control.cpp
@@ -17,9 +17,10 @@
 constexpr Micros second = 1'000'000;
 
 // The marks of the gate, in parts of a link or uplink. The paper's 85% and 70% of busy threads.
-constexpr double highMark = 0.92;
-constexpr double lowMark = 0.80;
-constexpr double aimMark = 0.88;        // where steps of playing subscriptions bring a limit back to
+constexpr double highMark = 0.98;
+constexpr double lowMark = 0.8;
+constexpr double aimMark = 0.94;        // where steps of playing subscriptions bring a limit back to
+constexpr double raiseMark = 0.85;      // where steps up leave it
 constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
 constexpr Micros openHold = 500'000;    // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;      // of the spare room, per second
@@ -123,7 +124,8 @@
 };
 
 struct Ask { Sub* sub; };
-struct Take { Sub* sub; int rung; };
+struct Take { Sub* sub; int rung; bool underWay; };
+struct Trim { double use; Micros about; };
 struct Play { Sub* sub; Micros took; };
 struct Leave { Sub* sub; Outcome outcome; LoadReport report; };
 struct Hear { Sub* sub; Reading reading; double value; };
@@ -136,7 +138,7 @@
 struct Offered { Sub* sub; Offer offer; };
 struct Outcomes { Sub* sub; Outcome outcome; bool settled; };
 
-using Note = std::variant<Ask, Take, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Start,
+using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Start,
                           Offered, Outcomes>;
 
 struct Post;
@@ -170,6 +172,7 @@
   std::minstd_rand chance;
   Micros now = 0;
   Micros born = 0;
+  double kbPerPlace = 0;  // from the first list: all links over all places
   std::vector<Action>* out = nullptr;
   std::deque<Part*> due;
 };
@@ -179,6 +182,7 @@
   double use = 0;
   double oursThen = 0;
   Micros readAt = 0;
+  Micros about = 0;  // the moment that the reading speaks of
   bool known = false;
 
   double now(double ours, double capacity) const { return std::max(0.0, use + (ours - oursThen) / capacity); }
@@ -240,7 +244,11 @@
            (1 - terms().startCapacity) * static_cast<double>(std::max<Micros>(0, age)) /
                static_cast<double>(terms().coldTime);
   }
-  double capacity() const { return std::max(1.0, terms().weightKb * weight * warmth()); }
+  // Weights may be silent or rough, but the places of a kind go with its link.
+  double capacity() const {
+    const double full = post.kbPerPlace > 0 ? post.kbPerPlace * places() : terms().weightKb * weight;
+    return std::max(1.0, full * warmth());
+  }
   double rate(const Sub& sub, int rung) const {
     return terms().ladderKb[static_cast<std::size_t>(rung)] * sub.room->rateFactor;
   }
@@ -263,10 +271,10 @@
   void gate();
   void strike(int hard);
   void readLink(double value, Micros age, bool capped);
-  void react();
+  void react(double use, Micros about);
   void read(const Note& note) override;
   void answer(Sub& sub);
-  void take(Sub& sub, int rung);
+  void take(Sub& sub, int rung, bool underWay);
   void leave(Sub& sub, Outcome outcome, const LoadReport& report);
   void hear(Sub& sub, Reading reading, double value);
   void listed(const ListEntry& entry);
@@ -311,7 +319,11 @@
     kb += load->kb;
     trace.set(post.now, kb);
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
-    gauge = {seen->use, trace.at(post.now, seen->age), post.now, true};
+    gauge = {seen->use, trace.at(post.now, seen->age), post.now, post.now - seen->age, true};
+    tell();
+    if (seen->use > highMark)
+      for (Node* node : nodes) post.send(*node, Trim{use(), gauge.about});
+    return;
   }
   tell();
 }
@@ -394,7 +406,7 @@
 
 void Node::readLink(double value, Micros age, bool capped) {
   if (capped && link.known && link.now(kb, capacity()) >= 1) return;
-  link = {value, trace.at(post.now, age), post.now, true};
+  link = {value, trace.at(post.now, age), post.now, post.now - age, true};
 }
 
 void Node::answer(Sub& sub) {
@@ -412,10 +424,11 @@
   post.send(*desk, Offered{&sub, offer});
 }
 
-void Node::take(Sub& sub, int rung) {
+void Node::take(Sub& sub, int rung, bool underWay) {
   subs.push_back(&sub);
   sub.rung = rung;
   setKb(sub, charge(sub, rung));
+  if (underWay) return;
   admitted.add(post.now, sub.kb);
   pacedAt = post.now;
 }
@@ -461,7 +474,7 @@
     case Reading::link:
       readLink(value, age, false);
       if (!sub.toldLink) sub.toldLink = true;
-      else react();
+      else react(use(), link.about);
       break;
     case Reading::uplink:
       if (rack) post.send(*rack, UplinkSeen{value, age});
@@ -472,13 +485,13 @@
 
 // A departure from leaving playing subscriptions alone: once per round of notes, a node over the high mark
 // gives back its own part of the excess and one under the low mark takes up its own part of the room. Every
-// director hears the same note, so each scales only what is its own.
-void Node::react() {
-  if (post.now - reactedAt < second) return;
-  const double u = use();
-  if (u <= 0 || (u >= lowMark && u <= highMark) || (shortNow() && delivered < 0.4)) return;
+// director hears the same note, so each scales only what is its own, and waits for a note that speaks of a
+// moment after that before it does so again.
+void Node::react(double u, Micros about) {
+  if (about <= reactedAt || u <= 0 || (u >= lowMark && u <= highMark)) return;
+  if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return;
   reactedAt = post.now;
-  const double goal = kb * std::min(aimMark / u, 1.5);
+  const double goal = kb * std::min((u > highMark ? aimMark : raiseMark) / u, 1.5);
   const auto gainPerKb = [&](const Sub& sub, int rung) {  // of the step from rung to rung + 1
     const auto r = static_cast<std::size_t>(rung);
     return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
@@ -533,7 +546,8 @@
       [this](const auto& n) {
         using N = std::decay_t<decltype(n)>;
         if constexpr (std::is_same_v<N, Ask>) answer(*n.sub);
-        if constexpr (std::is_same_v<N, Take>) take(*n.sub, n.rung);
+        if constexpr (std::is_same_v<N, Take>) take(*n.sub, n.rung, n.underWay);
+        if constexpr (std::is_same_v<N, Trim>) react(n.use, n.about);
         if constexpr (std::is_same_v<N, Leave>) leave(*n.sub, n.outcome, n.report);
         if constexpr (std::is_same_v<N, Hear>) hear(*n.sub, n.reading, n.value);
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
@@ -634,7 +648,7 @@
   sub.sent = now();
   sub.rung = offer.rung;
   ++seatsTaken(sub);
-  post.send(*offer.node, Take{&sub, offer.rung});
+  post.send(*offer.node, Take{&sub, offer.rung, false});
   act(SetRung{sub.id, offer.rung});
   act(Join{sub.id, offer.node->id, patience(sub)});
 }
@@ -718,6 +732,12 @@
       }
       post.send(n, Listed{entry});
     }
+    post.run();
+    if (post.kbPerPlace > 0 || post.terms.placesByKind.empty()) return;
+    double places = 0;
+    for (auto& [id, n] : desk.nodes)
+      if (n->state == NodeState::ready) places += n->places();
+    if (places > 0) post.kbPerPlace = post.terms.allLinksKb / places;
   }
   void on(const Requested& e) { post.send(desk, Start{&admit(e.viewing)}); }
   void on(const UnderWay& e) {
@@ -728,7 +748,7 @@
     sub.at = &node(e.node);
     sub.rung = sub.room->floor;
     ++desk.seatsTaken(sub);
-    post.send(*sub.at, Take{&sub, sub.rung});
+    post.send(*sub.at, Take{&sub, sub.rung, true});
   }
   void on(const Began& e) {
     Sub* sub = find(e.sub);
--- a/src/control.h
+++ b/src/control.h
@@ -63,6 +63,7 @@
   int racks = 0;
   int maxJoins = 1;
   double weightKb = 0;
+  double allLinksKb = 0;
   double rackKb = 0;
   double joinAdds = 1;
   double refusesFrom = 0;
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -262,6 +262,7 @@
   read(domain, "cabinets", terms.racks);
   read(limits, "maxAttempts", terms.maxJoins);
   read(domain, "weightKb", terms.weightKb);
+  read(domain, "allLinksKb", terms.allLinksKb);
   read(domain, "rackKb", terms.rackKb);
   read(domain, "joinAdds", terms.joinAdds);
   read(domain, "refusesFrom", terms.refusesFrom);
