--- a/src/control.cpp
+++ b/src/control.cpp
@@ -21,6 +21,7 @@
 constexpr double lowMark = 0.8;
 constexpr double aimMark = 0.94;        // where steps of playing subscriptions bring a limit back to
 constexpr double raiseMark = 0.85;      // where steps up leave it
+constexpr double unreadUse = 0.65;       // of a limit that no reading has told of yet
 constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
 constexpr Micros openHold = 500'000;    // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;      // of the spare room, per second
@@ -226,6 +227,7 @@
   Micros overSince = 0;
   Micros underSince = 0;
   Tally<10> admitted{second};
+  Tally<10> sent{std::max<Micros>(second, post.terms.fallTime)};
   int strikes = 0;
   Micros shutUntil = 0;
   Micros lostAt = 0;      // a sign that the process died: whatever comes back is cold
@@ -266,7 +268,7 @@
   }
   void setKb(Sub& sub, double charged);
   bool cold() const;
-  bool paced() const;
+  bool paced();
   bool healthy(const Sub& sub) const;
   void gate();
   void strike(int hard);
@@ -336,7 +338,8 @@
 // ---- media node ----
 
 double Node::linkUse() const {
-  double ours = link.known ? link.now(kb, capacity()) : kb * terms().directors / capacity();
+  double ours = link.known ? link.now(kb, capacity())
+                           : unreadUse + kb / capacity();  // never idle only because nothing is known
   // A reading nobody renews says less and less: a node that looked full must get a trial some day.
   const Micros stale = post.now - link.readAt - 3 * terms().reportsEvery - terms().seenAfter;
   if (link.known && terms().reportsEvery > 0 && stale > 0 && ours > lowMark)
@@ -360,14 +363,17 @@
 // Guards against pushing a cold node over, all directors together: time is cut into turns of one set-up at
 // half the multiple allowed, and each director sends in the first half of its own turns only, so no two
 // sends of different directors meet. A restarted director keeps to its turns without any memory. For a
-// while after its own start any node may have restarted unseen, and sends are spaced.
-bool Node::paced() const {
+// while after its own start any node may have restarted unseen: each gets a director's part of what even a
+// cold one bears, since many viewers come back at once and turns would throttle them for little.
+bool Node::paced() {
   const bool unsure = post.now - post.born < terms().coldTime;
   if (!cold() && !unsure) return true;
-  const double perSecond = places() / (static_cast<double>(terms().coldTime) / second) * terms().startCapacity *
-                           std::max(0.5, 0.5 * terms().overloadFactor);
-  const auto turn = std::max<Micros>(1, static_cast<Micros>(static_cast<double>(second) / perSecond));
-  if (!cold()) return post.now - pacedAt >= turn * terms().directors / 2;
+  const double bears = places() * terms().startCapacity * terms().overloadFactor /
+                       static_cast<double>(terms().coldTime);  // set-ups a microsecond
+  if (!cold())
+    return sent.sum(post.now) < std::max(1.0, std::floor(bears * static_cast<double>(terms().fallTime) /
+                                                         terms().directors));
+  const auto turn = std::max<Micros>(1, static_cast<Micros>(2 / bears));
   return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
          post.now - pacedAt >= turn;
 }
@@ -430,6 +436,7 @@
   setKb(sub, charge(sub, rung));
   if (underWay) return;
   admitted.add(post.now, sub.kb);
+  sent.add(post.now, 1);
   pacedAt = post.now;
 }
 
