Steps up take a director's part of the room and count for all directors

Cause: a node stepped up by at most half of its own rate, less than one rung for one subscription, and several directors stepped on the same note unseen.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -18,16 +18,19 @@
 
 // The marks of the gate, in parts of a link or uplink. The paper's 85% and 70% of busy threads.
 constexpr double highMark = 0.98;
-constexpr double lowMark = 0.8;
+constexpr double lowMark = 0.9;
 constexpr double aimMark = 0.94;        // where steps of playing subscriptions bring a limit back to
+constexpr double idleMark = 0.8;         // under it playing subscriptions step up
 constexpr double raiseMark = 0.85;      // where steps up leave it
-constexpr double unreadUse = 0.65;       // of a limit that no reading has told of yet
+constexpr double unreadUse = 0.5;       // of a limit that no reading has told of yet
+constexpr double wantedMark = 0.87;      // and where they leave it when viewers are throttled there
 constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
-constexpr Micros openHold = 500'000;    // the paper holds 10 s, a quarter of a subscription's life here
+constexpr Micros openHold = 200'000;    // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;      // of the spare room, per second
 constexpr double rateSpread = 0.15;     // titles run this far over their rung's rate
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
 constexpr Micros tickSpan = 200'000;
+constexpr Micros wantedSpan = 5 * second;  // how long a closed gate remembers who was throttled there
 constexpr Micros dwell = 4 * second;    // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
@@ -133,7 +136,7 @@
 struct Listed { ListEntry entry; };
 struct Tick {};
 struct UplinkUse { double use; };
-struct UplinkLoad { double kb; };
+struct UplinkLoad { double kb; bool step; };
 struct UplinkSeen { double use; Micros age; };
 struct Start { Sub* sub; };
 struct Offered { Sub* sub; Offer offer; };
@@ -195,10 +198,11 @@
   Gauge gauge;
   Trace trace;
   double kb = 0;
+  double heard = 0;
 
   double use() const {
     if (!gauge.known) return kb * post.terms.directors / std::max(1.0, post.terms.rackKb);
-    return gauge.now(kb, std::max(1.0, post.terms.rackKb));
+    return gauge.now(heard, std::max(1.0, post.terms.rackKb));
   }
   void read(const Note& note) override;
   void tell();
@@ -218,6 +222,7 @@
 
   std::vector<Sub*> subs;
   double kb = 0;
+  double heard = 0;       // kb, with steps counted once for each director: all hear the same notes and step
   Trace trace;
   Gauge link;
   double rackUse = 0;
@@ -233,6 +238,7 @@
   Micros lostAt = 0;      // a sign that the process died: whatever comes back is cold
   Micros pacedAt = 0;
   Micros reactedAt = 0;
+  Micros wantedAt = 0;    // last asked while closed or over the share
 
   const Terms& terms() const { return post.terms; }
   int places() const {
@@ -266,7 +272,7 @@
   bool shortNow() const {
     return delivered < 0.98 && post.now - deliveredAt < 2 * second + terms().seenAfter;
   }
-  void setKb(Sub& sub, double charged);
+  void setKb(Sub& sub, double charged, bool step = false);
   bool cold() const;
   bool paced();
   bool healthy(const Sub& sub) const;
@@ -319,7 +325,8 @@
 void Rack::read(const Note& note) {
   if (const auto* load = std::get_if<UplinkLoad>(&note)) {
     kb += load->kb;
-    trace.set(post.now, kb);
+    heard += load->kb * (load->step ? post.terms.directors : 1);
+    trace.set(post.now, heard);
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
     gauge = {seen->use, trace.at(post.now, seen->age), post.now, post.now - seen->age, true};
     tell();
@@ -338,7 +345,7 @@
 // ---- media node ----
 
 double Node::linkUse() const {
-  double ours = link.known ? link.now(kb, capacity())
+  double ours = link.known ? link.now(heard, capacity())
                            : unreadUse + kb / capacity();  // never idle only because nothing is known
   // A reading nobody renews says less and less: a node that looked full must get a trial some day.
   const Micros stale = post.now - link.readAt - 3 * terms().reportsEvery - terms().seenAfter;
@@ -348,12 +355,13 @@
   return ours;
 }
 
-void Node::setKb(Sub& sub, double charged) {
-  kb += charged - sub.kb;
-  if (subs.empty()) kb = 0;
-  if (rack) post.send(*rack, UplinkLoad{charged - sub.kb});
+void Node::setKb(Sub& sub, double charged, bool step) {
+  const double change = charged - sub.kb;
+  kb += change;
+  heard += change * (step ? terms().directors : 1);
   sub.kb = charged;
-  trace.set(post.now, kb);
+  if (rack) post.send(*rack, UplinkLoad{change, step});
+  trace.set(post.now, heard);
 }
 
 bool Node::cold() const {
@@ -411,7 +419,7 @@
 }
 
 void Node::readLink(double value, Micros age, bool capped) {
-  if (capped && link.known && link.now(kb, capacity()) >= 1) return;
+  if (capped && link.known && link.now(heard, capacity()) >= 1) return;
   link = {value, trace.at(post.now, age), post.now, post.now - age, true};
 }
 
@@ -427,6 +435,7 @@
   for (int rung = sub.room->floor; rung <= top; ++rung)
     if (rate(sub, rung) * (1 + rateSpread) <= share) offer.rung = rung;
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
+  if (closed || offer.overShare) wantedAt = post.now;
   post.send(*desk, Offered{&sub, offer});
 }
 
@@ -443,7 +452,6 @@
 void Node::leave(Sub& sub, Outcome outcome, const LoadReport& report) {
   setKb(sub, 0);
   std::erase(subs, &sub);
-  if (subs.empty()) kb = 0;
   switch (outcome) {
     case Outcome::error:
     case Outcome::timeout:
@@ -495,10 +503,13 @@
 // director hears the same note, so each scales only what is its own, and waits for a note that speaks of a
 // moment after that before it does so again.
 void Node::react(double u, Micros about) {
-  if (about <= reactedAt || u <= 0 || (u >= lowMark && u <= highMark)) return;
+  const bool wanted = wantedAt != 0 && post.now - wantedAt < wantedSpan;
+  const bool down = u > highMark || (wanted && closed && u > lowMark);
+  if (about <= reactedAt || u <= 0 || (!down && (u >= idleMark || wanted))) return;
   if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return;
   reactedAt = post.now;
-  const double goal = kb * std::min((u > highMark ? aimMark : raiseMark) / u, 1.5);
+  const double room = std::min((raiseMark - linkUse()) * capacity(), (raiseMark - rackUse) * std::max(1.0, terms().rackKb));
+  const double goal = down ? kb * (wanted ? wantedMark : aimMark) / u : kb + room / terms().directors;
   const auto gainPerKb = [&](const Sub& sub, int rung) {  // of the step from rung to rung + 1
     const auto r = static_cast<std::size_t>(rung);
     return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
@@ -516,22 +527,22 @@
     for (auto& entry : plan) {
       auto& [sub, rung] = entry;
       const int top = std::min(sub->viewing.top, sub->room->top);
-      if (u > highMark ? rung <= sub->room->floor : rung >= top) continue;
-      const double gain = u > highMark ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
+      if (down ? rung <= sub->room->floor : rung >= top) continue;
+      const double gain = down ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
       if (best == nullptr || gain > bestGain) best = &entry, bestGain = gain;
     }
     if (best == nullptr) break;
     auto& [sub, rung] = *best;
-    const double change = u > highMark ? rate(*sub, rung - 1) - rate(*sub, rung) : rate(*sub, rung + 1) - rate(*sub, rung);
-    if (u > highMark ? planned <= goal : planned + change > goal) break;
+    const double change = down ? rate(*sub, rung - 1) - rate(*sub, rung) : rate(*sub, rung + 1) - rate(*sub, rung);
+    if (down ? planned <= goal : planned + change > goal) break;
     planned += change;
-    rung += u > highMark ? -1 : 1;
+    rung += down ? -1 : 1;
   }
   for (auto& [sub, rung] : plan) {
     if (rung == sub->rung) continue;
     sub->rung = rung;
     sub->stepped = post.now;
-    setKb(*sub, charge(*sub, rung));
+    setKb(*sub, charge(*sub, rung), true);
     post.out->push_back(SetRung{sub->id, rung});
   }
 }
