An uplink that is only felt: nodes of a rack short together close and trim the rack

Told from a hang (one node, share falls to 0) and from slow links (the link reading is over 1). Also holds against any common cause in a rack; harms where two nodes of a rack are slow alike with stale link readings.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -24,6 +24,7 @@
 constexpr double raiseMark = 0.85;      // where steps up leave it
 constexpr double unreadUse = 0.5;       // of a limit that no reading has told of yet
 constexpr double wantedMark = 0.87;      // and where they leave it when viewers are throttled there
+constexpr double feltDecay = 0.02;       // a second, of an uplink only felt
 constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
 constexpr Micros openHold = 200'000;    // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;      // of the spare room, per second
@@ -136,13 +137,14 @@
 struct Listed { ListEntry entry; };
 struct Tick {};
 struct UplinkUse { double use; };
-struct UplinkLoad { double kb; bool step; };
+struct UplinkLoad { Node* node; double kb; bool step; };
+struct Shortfall { Node* node; double share; bool explained; };
 struct UplinkSeen { double use; Micros age; };
 struct Start { Sub* sub; };
 struct Offered { Sub* sub; Offer offer; };
 struct Outcomes { Sub* sub; Outcome outcome; bool settled; };
 
-using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Start,
+using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Shortfall, Start,
                           Offered, Outcomes>;
 
 struct Post;
@@ -194,17 +196,33 @@
 
 struct Rack : Part {
   using Part::Part;
-  std::vector<Node*> nodes;
+  struct Held {
+    Node* node;
+    double kb = 0;
+    double share = 1;     // delivered, where the node's link does not explain it
+    Micros toldAt = 0;
+  };
+  std::vector<Held> nodes;
   Gauge gauge;
   Trace trace;
   double kb = 0;
   double heard = 0;
+  bool felt = false;  // the gauge is inferred from short delivery, not read
 
+  double capacity() const { return std::max(1.0, post.terms.rackKb); }
   double use() const {
-    if (!gauge.known) return kb * post.terms.directors / std::max(1.0, post.terms.rackKb);
-    return gauge.now(heard, std::max(1.0, post.terms.rackKb));
+    const double guess = kb * post.terms.directors / capacity();
+    if (!gauge.known) return guess;
+    const double read = gauge.now(heard, capacity());
+    // Nothing tells that an uplink only felt has room again: it is tried little by little.
+    return felt ? std::max(guess, read - feltDecay * static_cast<double>(post.now - gauge.readAt) / second) : read;
   }
   void read(const Note& note) override;
+  Held& of(const Node* node) {
+    return *std::find_if(nodes.begin(), nodes.end(), [&](const Held& h) { return h.node == node; });
+  }
+  void feel();
+  void trim();
   void tell();
 };
 
@@ -272,6 +290,7 @@
   bool shortNow() const {
     return delivered < 0.98 && post.now - deliveredAt < 2 * second + terms().seenAfter;
   }
+  bool unexplained() const { return shortNow() && delivered > 0.2 && delivered < 0.95 && linkUse() < 0.95 && !cold(); }
   void setKb(Sub& sub, double charged, bool step = false);
   bool cold() const;
   bool paced();
@@ -324,22 +343,52 @@
 
 void Rack::read(const Note& note) {
   if (const auto* load = std::get_if<UplinkLoad>(&note)) {
+    of(load->node).kb += load->kb;
     kb += load->kb;
     heard += load->kb * (load->step ? post.terms.directors : 1);
     trace.set(post.now, heard);
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
     gauge = {seen->use, trace.at(post.now, seen->age), post.now, post.now - seen->age, true};
-    tell();
-    if (seen->use > highMark)
-      for (Node* node : nodes) post.send(*node, Trim{use(), gauge.about});
-    return;
+    felt = false;
+    if (seen->use > highMark) trim();
+  } else if (const auto* lack = std::get_if<Shortfall>(&note)) {
+    of(lack->node).share = lack->explained ? 1 : lack->share;
+    of(lack->node).toldAt = post.now;
+    if (felt || !gauge.known || post.now - gauge.readAt > 3 * post.terms.reportsEvery) feel();
   }
   tell();
 }
 
+void Rack::trim() {
+  tell();
+  for (Held& held : nodes) post.send(*held.node, Trim{use(), gauge.about});
+}
+
 void Rack::tell() {
   const double told = use();
-  for (Node* node : nodes) post.send(*node, UplinkUse{told});
+  for (Held& held : nodes) post.send(*held.node, UplinkUse{told});
+}
+
+// Guards against an uplink that is short where no report tells of uplinks: nodes of one rack deliver short
+// together though none of their links is asked too much. One node alone may just hang.
+void Rack::feel() {
+  int held = 0, sharing = 0;
+  double sum = 0, least = 1, most = 0;
+  for (const Held& h : nodes) {
+    if (h.kb <= 0) continue;
+    ++held;
+    if (h.share >= 0.98 || post.now - h.toldAt > 2 * second) continue;
+    ++sharing;
+    sum += h.share;
+    least = std::min(least, h.share);
+    most = std::max(most, h.share);
+  }
+  if (sharing < 2 || sharing * 2 < held || most - least > 0.15) return;
+  const Micros age = post.terms.seenAfter;
+  if (post.now - gauge.readAt < second / 2) return;
+  gauge = {static_cast<double>(sharing) / sum, trace.at(post.now, age), post.now, post.now - age, true};
+  felt = true;
+  if (gauge.use > highMark) trim();
 }
 
 // ---- media node ----
@@ -360,7 +409,7 @@
   kb += change;
   heard += change * (step ? terms().directors : 1);
   sub.kb = charged;
-  if (rack) post.send(*rack, UplinkLoad{change, step});
+  if (rack) post.send(*rack, UplinkLoad{this, change, step});
   trace.set(post.now, heard);
 }
 
@@ -481,6 +530,7 @@
     case Reading::delivered:
       delivered = value;
       deliveredAt = post.now;
+      if (rack) post.send(*rack, Shortfall{this, value, !unexplained()});
       break;
     case Reading::rung:
       sub.rung = std::clamp(static_cast<int>(value), 0, static_cast<int>(terms().ladderKb.size()) - 1);
@@ -746,7 +796,7 @@
         auto& rack = desk.racks[entry.cell % post.terms.racks];
         if (!rack) rack = std::make_unique<Rack>(post);
         n.rack = rack.get();
-        rack->nodes.push_back(&n);
+        rack->nodes.push_back({&n});
       }
       post.send(n, Listed{entry});
     }
