Short delivery corrects a reading that is too low, unless it eases

Also holds for late reports and a limit nobody reports; harms where delivery is short for a cause that fewer kB do not mend (a node that hangs: under 0.4 it is left out).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -201,6 +201,7 @@
     double kb = 0;
     double share = 1;     // delivered, where the node's link does not explain it
     Micros toldAt = 0;
+    bool easing = false;  // the share is smoothed: while it rises the shortage is already over
   };
   std::vector<Held> nodes;
   Gauge gauge;
@@ -290,7 +291,8 @@
   bool shortNow() const {
     return delivered < 0.98 && post.now - deliveredAt < 2 * second + terms().seenAfter;
   }
-  bool unexplained() const { return shortNow() && delivered > 0.2 && delivered < 0.95 && linkUse() < 0.95 && !cold(); }
+  void feel(double before);
+  bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
   void setKb(Sub& sub, double charged, bool step = false);
   bool cold() const;
   bool paced();
@@ -352,9 +354,11 @@
     felt = false;
     if (seen->use > highMark) trim();
   } else if (const auto* lack = std::get_if<Shortfall>(&note)) {
-    of(lack->node).share = lack->explained ? 1 : lack->share;
-    of(lack->node).toldAt = post.now;
-    if (felt || !gauge.known || post.now - gauge.readAt > 3 * post.terms.reportsEvery) feel();
+    Held& from = of(lack->node);
+    from.easing = lack->share > from.share;
+    from.share = lack->explained ? 1 : lack->share;
+    from.toldAt = post.now;
+    feel();
   }
   tell();
 }
@@ -374,19 +378,22 @@
 void Rack::feel() {
   int held = 0, sharing = 0;
   double sum = 0, least = 1, most = 0;
+  bool easing = false;
   for (const Held& h : nodes) {
     if (h.kb <= 0) continue;
     ++held;
     if (h.share >= 0.98 || post.now - h.toldAt > 2 * second) continue;
     ++sharing;
+    easing = easing || h.easing;
     sum += h.share;
     least = std::min(least, h.share);
     most = std::max(most, h.share);
   }
-  if (sharing < 2 || sharing * 2 < held || most - least > 0.15) return;
+  if (sharing < 2 || sharing * 2 < held || most - least > 0.15 || easing) return;
+  const double implied = sharing / sum;
+  if (implied <= use() || (felt && post.now - gauge.readAt < second / 2)) return;
   const Micros age = post.terms.seenAfter;
-  if (post.now - gauge.readAt < second / 2) return;
-  gauge = {static_cast<double>(sharing) / sum, trace.at(post.now, age), post.now, post.now - age, true};
+  gauge = {implied, trace.at(post.now, age), post.now, post.now - age, true};
   felt = true;
   if (gauge.use > highMark) trim();
 }
@@ -527,11 +534,14 @@
 void Node::hear(Sub& sub, Reading reading, double value) {
   const Micros age = sub.toldLink ? terms().seenAfter : 0;
   switch (reading) {
-    case Reading::delivered:
+    case Reading::delivered: {
+      const double before = shortNow() ? delivered : 1;
       delivered = value;
       deliveredAt = post.now;
       if (rack) post.send(*rack, Shortfall{this, value, !unexplained()});
+      feel(before);
       break;
+    }
     case Reading::rung:
       sub.rung = std::clamp(static_cast<int>(value), 0, static_cast<int>(terms().ladderKb.size()) - 1);
       setKb(sub, charge(sub, sub.rung));
@@ -597,6 +607,17 @@
   }
 }
 
+// Guards against reports that stay out or come late: where a link is read as nearly full and delivery is
+// shorter than that explains, the shortage itself is the reading, as the design has it without reports.
+void Node::feel(double before) {
+  const Micros age = terms().seenAfter;
+  if (delivered > 0.97 || delivered < 0.4 || delivered > before) return;
+  if (link.known && linkUse() < 0.9 && post.now - link.about < 2 * terms().reportsEvery + age) return;
+  if (1 / delivered <= use()) return;
+  readLink(1 / delivered, age, false);
+  react(use(), link.about);
+}
+
 void Node::listed(const ListEntry& entry) {
   state = entry.state;
   kind = entry.kind;
