--- a/src/control.cpp
+++ b/src/control.cpp
@@ -593,8 +593,11 @@
     }
     if (best == nullptr) break;
     auto& [sub, rung] = *best;
-    const double change = down ? rate(*sub, rung - 1) - rate(*sub, rung) : rate(*sub, rung + 1) - rate(*sub, rung);
-    if (down ? planned <= goal : planned + change > goal) break;
+    const double change = rate(*sub, rung + (down ? -1 : 1)) - rate(*sub, rung);
+    const double left = (goal - planned) / change;  // in steps of this size
+    // One step is often more than the node's part, and all nodes of a rack would overdo it alike: the last
+    // step is taken by chance, so that together they come out right.
+    if (left < 1 && (left * 1000 <= static_cast<double>(post.chance() % 1000) || (!down && change > room))) break;
     planned += change;
     rung += down ? -1 : 1;
   }
