--- a/src/control.cpp
+++ b/src/control.cpp
@@ -32,7 +32,7 @@
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
 constexpr Micros tickSpan = 200'000;
 constexpr Micros wantedSpan = 5 * second;  // how long a closed gate remembers who was throttled there
-constexpr Micros dwell = 4 * second;    // between two steps of one subscription
+constexpr Micros dwell = 8 * second;    // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
 template <int Buckets>
