--- a/src/control.cpp
+++ b/src/control.cpp
@@ -286,6 +286,11 @@
     });
     return rate(sub, rung) * (shared ? terms().joinAdds : 1);
   }
+  double gainPerKb(const Sub& sub, int rung) const {  // of the step from rung to rung + 1
+    const auto r = static_cast<std::size_t>(rung);
+    return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
+           std::max(1.0, rate(sub, rung + 1) - rate(sub, rung));
+  }
   double linkUse() const;
   double use() const { return std::max(linkUse(), rackUse); }
   bool shortNow() const {
@@ -488,8 +493,16 @@
   const double share = spareShare * (room + recent) - recent;
   const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
   offer.rung = sub.room->floor;
-  for (int rung = sub.room->floor; rung <= top; ++rung)
-    if (rate(sub, rung) * (1 + rateSpread) <= share) offer.rung = rung;
+  // Where room is scarce a newcomer gets no step that would be the first to be taken back.
+  double cheapest = subs.empty() ? 0 : 1e9;
+  for (const Sub* held : subs)
+    if (held->rung > held->room->floor) cheapest = std::min(cheapest, gainPerKb(*held, held->rung - 1));
+  const double free = room - (highMark - idleMark) * capacity();
+  for (int rung = sub.room->floor + 1; rung <= top; ++rung) {
+    if (rate(sub, rung) * (1 + rateSpread) > share) break;
+    if (rate(sub, rung) > free && gainPerKb(sub, rung - 1) < cheapest) break;
+    offer.rung = rung;
+  }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
   if (closed || offer.overShare) wantedAt = post.now;
   post.send(*desk, Offered{&sub, offer});
@@ -570,11 +583,6 @@
   reactedAt = post.now;
   const double room = std::min((raiseMark - linkUse()) * capacity(), (raiseMark - rackUse) * std::max(1.0, terms().rackKb));
   const double goal = down ? kb * (wanted ? wantedMark : aimMark) / u : kb + room / terms().directors;
-  const auto gainPerKb = [&](const Sub& sub, int rung) {  // of the step from rung to rung + 1
-    const auto r = static_cast<std::size_t>(rung);
-    return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
-           std::max(1.0, rate(sub, rung + 1) - rate(sub, rung));
-  };
   std::vector<std::pair<Sub*, int>> plan;
   double planned = 0;
   for (Sub* sub : subs) {
