--- a/src/control.cpp
+++ b/src/control.cpp
@@ -100,6 +100,7 @@
   Node* node = nullptr;
   bool open = false;
   bool fit = false;        // ready, healthy and, where cold, in its pace
+  bool clean = false;      // no failure for a while
   bool overShare = false;
   double use = 0;
   int rung = 0;
@@ -253,6 +254,7 @@
   Tally<10> admitted{second};
   Tally<10> sent{std::max<Micros>(second, post.terms.fallTime)};
   int strikes = 0;
+  Tally<10> failures{20 * second};
   Micros shutUntil = 0;
   Micros lostAt = 0;      // a sign that the process died: whatever comes back is cold
   Micros pacedAt = 0;
@@ -301,7 +303,7 @@
   void setKb(Sub& sub, double charged, bool step = false);
   bool cold() const;
   bool paced();
-  bool healthy(const Sub& sub) const;
+  bool healthy() const;
   void gate();
   void strike(int hard);
   void readLink(double value, Micros age, bool capped);
@@ -449,7 +451,7 @@
 
 // A node that answers nothing or fails what it gets looks idle and would draw everybody. It is shut while a
 // join there waits longer than set-ups take, after failures, and then takes one trial at a time.
-bool Node::healthy(const Sub& sub) const {
+bool Node::healthy() const {
   if (post.now < shutUntil) return false;
   if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return false;
   bool waiting = false;
@@ -458,7 +460,7 @@
     waiting = true;
     if (post.now - other->sent > 500'000) return false;
   }
-  return strikes == 0 || (!waiting && sub.room->effect != Effect::once);
+  return strikes == 0 || !waiting;
 }
 
 void Node::gate() {
@@ -475,6 +477,7 @@
 }
 
 void Node::strike(int hard) {
+  failures.add(post.now, 1);
   strikes = std::min(5, strikes + hard);
   shutUntil = std::max(shutUntil, post.now + (second / 2 << strikes));
 }
@@ -486,7 +489,8 @@
 
 void Node::answer(Sub& sub) {
   gate();
-  Offer offer{this, !closed, state == NodeState::ready && healthy(sub) && paced(), false, use(), sub.room->floor};
+  Offer offer{this, !closed, state == NodeState::ready && healthy() && paced(), failures.sum(post.now) == 0, false, use(),
+              sub.room->floor};
   const double room = std::max(0.0, std::min((highMark - linkUse()) * capacity(),
                                              (highMark - rackUse) * std::max(1.0, terms().rackKb)));
   const double recent = admitted.sum(post.now);
@@ -653,7 +657,7 @@
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
         if constexpr (std::is_same_v<N, Tick>) gate();
         if constexpr (std::is_same_v<N, UplinkUse>) rackUse = n.use;
-        if constexpr (std::is_same_v<N, Play>) strikes = std::max(0, strikes - 1);
+        if constexpr (std::is_same_v<N, Play>) strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
       },
       note);
 }
@@ -716,6 +720,10 @@
   std::erase_if(offers, [](const Offer& o) { return !o.fit; });
   if (std::any_of(offers.begin(), offers.end(), [&](const Offer& o) { return !tried(o); }))
     std::erase_if(offers, tried);
+  // A set-up that may not be repeated goes where nothing has failed of late: an error there is final.
+  if (sub.room->effect == Effect::once &&
+      std::any_of(offers.begin(), offers.end(), [](const Offer& o) { return o.open && o.clean; }))
+    std::erase_if(offers, [](const Offer& o) { return !o.clean; });
   std::vector<Offer> open;
   for (const bool home : {true, false}) {
     for (const Offer& o : offers)
