Same zone first, but not into nearly full holders while another zone idles

Told from a capacity loss by the idle links of the other zone and from a crowd by the requests, which did not grow. Holders under the idle mark go first, same zone among them first. Also holds for zones with uneven crowds; harms where crossing zones is dear.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -725,9 +725,14 @@
       std::any_of(offers.begin(), offers.end(), [](const Offer& o) { return o.open && o.clean; }))
     std::erase_if(offers, [](const Offer& o) { return !o.clean; });
   std::vector<Offer> open;
-  for (const bool home : {true, false}) {
-    for (const Offer& o : offers)
-      if (o.open && (o.node->zone == post.terms.zone) == home) open.push_back(o);
+  // Same zone first, but not into holders over the idle mark while another zone has some under it: a zone
+  // that lost its directors or gets the crowd would throttle beside idle nodes.
+  for (const double under : {idleMark, 1e9}) {
+    for (const bool home : {true, false}) {
+      for (const Offer& o : offers)
+        if (o.open && o.use < under && (o.node->zone == post.terms.zone) == home) open.push_back(o);
+      if (!open.empty()) break;
+    }
     if (!open.empty()) break;
   }
   if (open.empty() && sub.courtesy) open = offers;
