--- a/src/control.cpp
+++ b/src/control.cpp
@@ -492,7 +492,7 @@
   Offer offer{this, !closed, state == NodeState::ready && healthy() && paced(), failures.sum(post.now) == 0, false, use(),
               sub.room->floor};
   const double room = std::max(0.0, std::min((highMark - linkUse()) * capacity(),
-                                             (highMark - rackUse) * std::max(1.0, terms().rackKb)));
+                                             (highMark - rackUse) * std::max(1.0, terms().rackKb) / terms().directors));
   const double recent = admitted.sum(post.now);
   const double share = spareShare * (room + recent) - recent;
   const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
