Tenants, length hints, a pause between list calls; settings that nothing read are gone

A request beyond its tenant's share finds only idle holders open; a step up must pay for itself where the length is hinted; a list out of reach is asked for again after 1 s, not at once; without reports an old reading wears off too.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -25,6 +25,9 @@
 constexpr double unreadUse = 0.5;       // of a limit that no reading has told of yet
 constexpr double wantedMark = 0.87;      // and where they leave it when viewers are throttled there
 constexpr double feltDecay = 0.02;       // a second, of an uplink only felt
+constexpr Micros quotaSpan = 5 * second;
+constexpr double quotaLean = 1.5;       // a director may see this much more of a tenant than its even part
+constexpr Micros askAgain = second;     // after a call for the list that failed
 constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
 constexpr Micros openHold = 200'000;    // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;      // of the spare room, per second
@@ -116,6 +119,7 @@
   Node* ran = nullptr;       // a join that may have run there: binds where it may go again
   Micros ranSent = 0;
   Micros sent = 0;
+  Micros began = 0;
   Micros stepped = 0;
   std::vector<Node*> tried;
   std::size_t asked = 0;     // holders whose offers the desk awaits
@@ -126,13 +130,14 @@
   bool playing = false;
   bool answered = false;
   bool courtesy = false;
+  bool overQuota = false;    // its tenant sends more than its share
   bool toldLink = false;     // the note at set-up has come
 };
 
 struct Ask { Sub* sub; };
 struct Take { Sub* sub; int rung; bool underWay; };
 struct Trim { double use; Micros about; };
-struct Play { Sub* sub; Micros took; };
+struct Play {};
 struct Leave { Sub* sub; Outcome outcome; LoadReport report; };
 struct Hear { Sub* sub; Reading reading; double value; };
 struct Listed { ListEntry entry; };
@@ -411,8 +416,8 @@
   double ours = link.known ? link.now(heard, capacity())
                            : unreadUse + kb / capacity();  // never idle only because nothing is known
   // A reading nobody renews says less and less: a node that looked full must get a trial some day.
-  const Micros stale = post.now - link.readAt - 3 * terms().reportsEvery - terms().seenAfter;
-  if (link.known && terms().reportsEvery > 0 && stale > 0 && ours > lowMark)
+  const Micros stale = post.now - link.readAt - 3 * std::max(terms().reportsEvery, second) - terms().seenAfter;
+  if (link.known && stale > 0 && ours > lowMark)
     ours = std::max(lowMark * 0.9, ours - 0.1 * static_cast<double>(stale) / second);
   if (shortNow() && !link.known) ours = std::max(ours, 1 / std::max(0.05, delivered));
   return ours;
@@ -489,7 +494,7 @@
 
 void Node::answer(Sub& sub) {
   gate();
-  Offer offer{this, !closed, state == NodeState::ready && healthy() && paced(), failures.sum(post.now) == 0, false, use(),
+  Offer offer{this, !closed && !(sub.overQuota && use() > idleMark), state == NodeState::ready && healthy() && paced(), failures.sum(post.now) == 0, false, use(),
               sub.room->floor};
   const double room = std::max(0.0, std::min((highMark - linkUse()) * capacity(),
                                              (highMark - rackUse) * std::max(1.0, terms().rackKb) / terms().directors));
@@ -600,6 +605,12 @@
       auto& [sub, rung] = entry;
       const int top = std::min(sub->viewing.top, sub->room->top);
       if (down ? rung <= sub->room->floor : rung >= top) continue;
+      // A step that its subscription will not outlive by enough costs more than it brings.
+      if (!down && sub->viewing.length && rung == sub->rung &&
+          static_cast<double>(sub->began + *sub->viewing.length - post.now) / second *
+                  (terms().rungBenefit[static_cast<std::size_t>(rung) + 1] -
+                   terms().rungBenefit[static_cast<std::size_t>(rung)]) < terms().switchSeconds)
+        continue;
       const double gain = down ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
       if (best == nullptr || gain > bestGain) best = &entry, bestGain = gain;
     }
@@ -675,7 +686,14 @@
 
 void Desk::start(Sub& sub) {
   requests.add(now(), 1);
-  if (sub.viewing.party >= 0) partyRate.try_emplace(sub.viewing.party, second).first->second.add(now(), 1);
+  // Beyond its tenant's share a request is worth little; directors get uneven parts of a tenant's viewers.
+  if (sub.viewing.party >= 0) {
+    const auto party = static_cast<std::size_t>(sub.viewing.party);
+    Tally<10>& rate = partyRate.try_emplace(sub.viewing.party, quotaSpan).first->second;
+    rate.add(now(), 1);
+    sub.overQuota = rate.sum(now()) > quotaLean * post.terms.quotaPerSecond[party] / post.terms.directors *
+                                          static_cast<double>(quotaSpan) / second;
+  }
   const auto it = broken.find(sub.viewing.viewer);
   sub.courtesy = sub.viewing.moved || (it != broken.end() && now() < it->second);
   if (it != broken.end()) broken.erase(it);
@@ -810,6 +828,7 @@
   Parts(Terms terms, std::uint64_t seed) : post(std::move(terms), seed), desk(post) {}
   Post post;
   Desk desk;
+  Micros askAgainAt = 0;
 
   Sub* find(SubId id) {
     const auto it = desk.subs.find(id);
@@ -832,7 +851,7 @@
   }
 
   void on(const ListTold& told) {
-    if (told.kind == ListKind::lost) return;
+    if (told.kind == ListKind::lost) return void(askAgainAt = post.now + askAgain);
     if (told.kind != ListKind::changes)
       for (auto& [id, n] : desk.nodes) n->state = NodeState::gone;
     for (const ListEntry& entry : told.entries) {
@@ -855,8 +874,8 @@
   void on(const Requested& e) { post.send(desk, Start{&admit(e.viewing)}); }
   void on(const UnderWay& e) {
     Sub& sub = admit(e.viewing);
-    sub.playing = sub.answered = true;
-    sub.toldLink = true;
+    sub.playing = sub.answered = sub.toldLink = true;
+    sub.began = post.now;
     sub.joins = 1;
     sub.at = &node(e.node);
     sub.rung = sub.room->floor;
@@ -865,9 +884,10 @@
   }
   void on(const Began& e) {
     Sub* sub = find(e.sub);
-    if (sub == nullptr || sub->at == nullptr) return;
+    if (sub == nullptr || sub->at == nullptr || e.join != sub->joins - 1) return;
     sub->playing = sub->answered = true;
-    post.send(*sub->at, Play{sub, e.took});
+    sub->began = post.now;
+    post.send(*sub->at, Play{});
   }
   void on(const Noted& e) {
     Sub* sub = find(e.sub);
@@ -876,7 +896,7 @@
   }
   void on(const JoinEnded& e) {
     Sub* sub = find(e.sub);
-    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node) return;
+    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node || e.join != sub->joins - 1) return;
     post.send(*sub->at, Leave{sub, e.outcome, e.report});
     post.send(desk, Outcomes{sub, e.outcome, e.settled});
   }
@@ -890,6 +910,11 @@
   void on(const AlarmRang&) {
     for (auto& [id, n] : desk.nodes) post.send(*n, Tick{});
     desk.act(SetAlarm{0, tickSpan});
+    // Not at once: a list out of reach is one service that all directors ask.
+    if (askAgainAt != 0 && post.now >= askAgainAt) {
+      askAgainAt = 0;
+      desk.act(FollowList{});
+    }
   }
 };
 
@@ -909,8 +934,6 @@
   }
   std::visit([&](const auto& e) { parts_->on(e); }, event);
   post.run();
-  if (const auto* told = std::get_if<ListTold>(&event); told != nullptr && told->kind == ListKind::lost)
-    actions.push_back(FollowList{});
 }
 
 }  // namespace lupinsill
--- a/src/control.h
+++ b/src/control.h
@@ -24,7 +24,6 @@
 enum class Reading { delivered, rung, link, uplink };
 
 struct RoomType {
-  std::string name;
   Effect effect = Effect::repeatable;
   Group group = Group::all;
   Micros window = 0;
@@ -37,11 +36,6 @@
   bool live = false;
 };
 
-struct Party {
-  std::string name;
-  double quotaPerSecond = 0;
-};
-
 struct FurtherJoins {
   int few = 0;
   double share = 0;
@@ -51,7 +45,7 @@
 // What a deployment states at start, as far as the decisions read it.
 struct Terms {
   std::vector<RoomType> roomTypes;
-  std::vector<Party> parties;
+  std::vector<double> quotaPerSecond;  // of each tenant, over all directors
   std::vector<double> ladderKb;
   std::vector<double> rungBenefit;
   std::vector<int> placesByKind;
@@ -121,7 +115,6 @@
 struct Began {
   SubId sub = 0;
   int join = 0;
-  Micros took = 0;
 };
 
 struct Noted {
@@ -135,7 +128,6 @@
   std::optional<double> linkShare;  // asked of the link, 1 at most
   std::optional<double> linkUse;    // asked over given
   std::optional<double> uplinkUse;
-  std::optional<double> streams;
 };
 
 struct JoinEnded {
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -135,7 +135,6 @@
   take("cpu", report.linkShare);
   take("x0", report.linkUse);
   take("x1", report.uplinkUse);
-  take("active", report.streams);
   return report;
 }
 
@@ -209,7 +208,8 @@
   for (const Json& item : listIn(options, "classes")) {
     if (!item.is_object()) bad("classes", "not an object");
     RoomType room;
-    read(item, "name", room.name);
+    std::string name;
+    read(item, "name", name);
     std::string effect = "repeatable";
     std::string group = "all";
     read(item, "effect", effect);
@@ -234,17 +234,17 @@
       if (!v->is_boolean()) bad("live", "not true or false");
       room.live = v->get<bool>();
     }
-    names.roomTypes.push_back(room.name);
+    names.roomTypes.push_back(name);
     terms.roomTypes.push_back(std::move(room));
   }
   for (const Json& item : listIn(options, "parties")) {
     if (!item.is_object()) bad("parties", "not an object");
-    Party party;
     std::string name;
+    double quota = 0;
     read(item, "name", name);
-    read(item, "quotaPerS", party.quotaPerSecond);
+    read(item, "quotaPerS", quota);
     names.parties.push_back(name);
-    terms.parties.push_back(party);
+    terms.quotaPerSecond.push_back(quota);
   }
   for (const Json& item : listIn(options, "machineTypes")) names.kinds.push_back(textIn(item, "machineTypes"));
   if (found(rules, "lookBackNs") != nullptr) {
@@ -314,7 +314,7 @@
   if (name == "Preexisting")
     return {UnderWay{viewingOf(m, names, {11, 13, 4, 9, 3, 7, 10, 12, 8, 5}), nodeIn(m.value(6))}};
   if (name == "Begun")
-    return {Began{subIn(m.value(2)), smallIn(m.value(3), "attempt", 0), microsIn(m.value(5), "tookNs")}};
+    return {Began{subIn(m.value(2)), smallIn(m.value(3), "attempt", 0)}};
   if (name == "Change") {
     const std::int64_t kind = wholeIn(m.value(5), "kind");
     if (kind < 1 || kind > 4) bad("kind", "unknown note " + std::to_string(kind));
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -92,7 +92,7 @@
     const std::string& verb = line.words.at(0);
     if (verb == "terms") return readTerms(line);
     if (verb == "room") return readRoom(line);
-    if (verb == "party") return void(terms_.parties.push_back({line.words.at(1), line.number("quota")}));
+    if (verb == "party") return void(terms_.quotaPerSecond.push_back(line.number("quota")));
     if (verb == "node") return readNode(line);
     if (verb == ">") return expect(line, true);
     if (verb == ">!") return expect(line, false);
@@ -128,7 +128,7 @@
 
   void readRoom(const Line& l) {
     RoomType room;
-    room.name = l.words.at(1);
+    rooms_.push_back(l.words.at(1));
     room.effect = pick<Effect>(l.text("effect", "repeatable"), {{"repeatable", Effect::repeatable},
                                                                 {"byKey", Effect::byKey},
                                                                 {"once", Effect::once}});
@@ -167,11 +167,9 @@
   Viewing viewing(const Line& l) {
     Viewing v;
     v.sub = sub(l.words.at(1));
-    const std::string room = l.text("room", terms_.roomTypes.at(0).name);
-    const auto it = std::find_if(terms_.roomTypes.begin(), terms_.roomTypes.end(),
-                                 [&](const RoomType& r) { return r.name == room; });
-    REQUIRE(it != terms_.roomTypes.end());
-    v.roomType = static_cast<int>(it - terms_.roomTypes.begin());
+    const auto it = std::find(rooms_.begin(), rooms_.end(), l.text("room", rooms_.at(0)));
+    REQUIRE(it != rooms_.end());
+    v.roomType = static_cast<int>(it - rooms_.begin());
     v.title = l.text("title", "t");
     v.viewer = l.text("viewer", "v-" + l.words.at(1));
     v.firstCell = l.whole("cell", 0);
@@ -196,13 +194,17 @@
     if (verb == "request") return send(Requested{viewing(l)});
     if (verb == "serve") {  // a request, and at once the start of what it led to
       send(Requested{viewing(l)});
-      if (at_.count(sub(l.words.at(1))) != 0) send(Began{sub(l.words.at(1)), 0, 100'000});
+      if (at_.count(sub(l.words.at(1))) != 0) send(Began{sub(l.words.at(1)), joins_[sub(l.words.at(1))] - 1});
       return;
     }
-    if (verb == "underway") return send(UnderWay{viewing(l), nodeOf(l, 2)});
+    if (verb == "underway") {
+      joins_[sub(l.words.at(1))] = 1;
+      at_[sub(l.words.at(1))].second = true;
+      return send(UnderWay{viewing(l), nodeOf(l, 2)});
+    }
     if (verb == "began") {
       at_[sub(l.words.at(1))].second = true;
-      return send(Began{sub(l.words.at(1)), 0, l.ms("took", 100)});
+      return send(Began{sub(l.words.at(1)), joins_[sub(l.words.at(1))] - 1});
     }
     if (verb == "note") {
       const auto reading = pick<Reading>(l.words.at(2), {{"delivered", Reading::delivered},
@@ -222,7 +224,7 @@
       if (l.has("use")) report.linkUse = l.number("use");
       if (l.has("uplink")) report.uplinkUse = l.number("uplink");
       const bool playing = at_[sub(l.words.at(1))].second;
-      return send(JoinEnded{sub(l.words.at(1)), nodeOf(l, 99), l.whole("join"), outcome,
+      return send(JoinEnded{sub(l.words.at(1)), nodeOf(l, 99), l.whole("join", joins_[sub(l.words.at(1))] - 1), outcome,
                             l.whole("settled", playing || outcome == Outcome::ok) != 0, report});
     }
     if (verb == "lapsed") return send(Lapsed{sub(l.words.at(1))});
@@ -248,6 +250,7 @@
     if (const auto* a = std::get_if<SetRung>(&action)) text << "rung " << names_[a->sub] << ' ' << a->rung;
     if (const auto* a = std::get_if<Join>(&action)) {
       at_[a->sub] = {a->node, false};
+      ++joins_[a->sub];
       text << "join " << names_[a->sub] << ' ' << a->node << ' ' << a->patience / 1000;
     }
     if (const auto* a = std::get_if<CallOff>(&action)) text << "calloff " << names_[a->sub] << ' ' << a->join;
@@ -328,6 +331,8 @@
   std::map<std::string, SubId> subs_;
   std::map<SubId, std::string> names_;
   std::map<SubId, std::pair<NodeId, bool>> at_;
+  std::map<SubId, int> joins_;
+  std::vector<std::string> rooms_;
   std::multimap<Micros, std::int64_t> alarms_;
   std::vector<std::string> since_;
 };
