--- a/src/control.cpp
+++ b/src/control.cpp
@@ -19,23 +19,23 @@
 // The marks of the gate, in parts of a link or uplink. The paper's 85% and 70% of busy threads.
 constexpr double highMark = 0.98;
 constexpr double lowMark = 0.9;
-constexpr double aimMark = 0.94;        // where steps of playing subscriptions bring a limit back to
-constexpr double idleMark = 0.8;         // under it playing subscriptions step up
-constexpr double raiseMark = 0.85;      // where steps up leave it
-constexpr double unreadUse = 0.5;       // of a limit that no reading has told of yet
-constexpr double wantedMark = 0.87;      // and where they leave it when viewers are throttled there
-constexpr double feltDecay = 0.02;       // a second, of an uplink only felt
+constexpr double aimMark = 0.94;     // where steps of playing subscriptions bring a limit back to
+constexpr double idleMark = 0.8;     // under it playing subscriptions step up
+constexpr double raiseMark = 0.85;   // where steps up leave it
+constexpr double unreadUse = 0.5;    // of a limit that no reading has told of yet
+constexpr double wantedMark = 0.87;  // and where they leave it when viewers are throttled there
+constexpr double feltDecay = 0.02;   // a second, of an uplink only felt
 constexpr Micros quotaSpan = 5 * second;
-constexpr double quotaLean = 1.5;       // a director may see this much more of a tenant than its even part
-constexpr Micros askAgain = second;     // after a call for the list that failed
-constexpr Micros closeHold = 400'000;   // the paper holds 2 s; notes here are already seconds old
-constexpr Micros openHold = 200'000;    // the paper holds 10 s, a quarter of a subscription's life here
-constexpr double spareShare = 0.5;      // of the spare room, per second
-constexpr double rateSpread = 0.15;     // titles run this far over their rung's rate
+constexpr double quotaLean = 1.5;      // a director may see this much more of a tenant than its even part
+constexpr Micros askAgain = second;    // after a call for the list that failed
+constexpr Micros closeHold = 400'000;  // the paper holds 2 s; notes here are already seconds old
+constexpr Micros openHold = 200'000;   // the paper holds 10 s, a quarter of a subscription's life here
+constexpr double spareShare = 0.5;     // of the spare room, per second
+constexpr double rateSpread = 0.15;    // titles run this far over their rung's rate
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
 constexpr Micros tickSpan = 200'000;
 constexpr Micros wantedSpan = 5 * second;  // how long a closed gate remembers who was throttled there
-constexpr Micros dwell = 8 * second;    // between two steps of one subscription
+constexpr Micros dwell = 8 * second;       // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
 template <int Buckets>
@@ -102,8 +102,8 @@
 struct Offer {
   Node* node = nullptr;
   bool open = false;
-  bool fit = false;        // ready, healthy and, where cold, in its pace
-  bool clean = false;      // no failure for a while
+  bool fit = false;    // ready, healthy and, where cold, in its pace
+  bool clean = false;  // no failure for a while
   bool overShare = false;
   double use = 0;
   int rung = 0;
@@ -115,43 +115,84 @@
   const RoomType* room = nullptr;
   int roomIndex = 0;
   Viewing viewing;
-  Node* at = nullptr;        // the join that is out, or where it plays
-  Node* ran = nullptr;       // a join that may have run there: binds where it may go again
+  Node* at = nullptr;   // the join that is out, or where it plays
+  Node* ran = nullptr;  // a join that may have run there: binds where it may go again
   Micros ranSent = 0;
   Micros sent = 0;
   Micros began = 0;
   Micros stepped = 0;
   std::vector<Node*> tried;
-  std::size_t asked = 0;     // holders whose offers the desk awaits
+  std::size_t asked = 0;  // holders whose offers the desk awaits
   std::vector<Offer> offers;
   int joins = 0;
   int rung = 0;
-  double kb = 0;             // what it was charged at its node
+  double kb = 0;  // what it was charged at its node
   bool playing = false;
   bool answered = false;
   bool courtesy = false;
-  bool overQuota = false;    // its tenant sends more than its share
-  bool toldLink = false;     // the note at set-up has come
+  bool overQuota = false;  // its tenant sends more than its share
+  bool toldLink = false;   // the note at set-up has come
 };
 
-struct Ask { Sub* sub; };
-struct Take { Sub* sub; int rung; bool underWay; };
-struct Trim { double use; Micros about; };
+struct Ask {
+  Sub* sub;
+};
+struct Take {
+  Sub* sub;
+  int rung;
+  bool underWay;
+};
+struct Trim {
+  double use;
+  Micros about;
+};
 struct Play {};
-struct Leave { Sub* sub; Outcome outcome; LoadReport report; };
-struct Hear { Sub* sub; Reading reading; double value; };
-struct Listed { ListEntry entry; };
+struct Leave {
+  Sub* sub;
+  Outcome outcome;
+  LoadReport report;
+};
+struct Hear {
+  Sub* sub;
+  Reading reading;
+  double value;
+};
+struct Listed {
+  ListEntry entry;
+};
 struct Tick {};
-struct UplinkUse { double use; };
-struct UplinkLoad { Node* node; double kb; bool step; };
-struct Shortfall { Node* node; double share; bool explained; };
-struct UplinkSeen { double use; Micros age; };
-struct Start { Sub* sub; };
-struct Offered { Sub* sub; Offer offer; };
-struct Outcomes { Sub* sub; Outcome outcome; bool settled; };
+struct UplinkUse {
+  double use;
+};
+struct UplinkLoad {
+  Node* node;
+  double kb;
+  bool step;
+};
+struct Shortfall {
+  Node* node;
+  double share;
+  bool explained;
+};
+struct UplinkSeen {
+  double use;
+  Micros age;
+};
+struct Start {
+  Sub* sub;
+};
+struct Offered {
+  Sub* sub;
+  Offer offer;
+};
+struct Outcomes {
+  Sub* sub;
+  Outcome outcome;
+  bool settled;
+};
 
-using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen, Shortfall, Start,
-                          Offered, Outcomes>;
+using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen,
+                          Shortfall, Start, Offered, Outcomes>;
 
 struct Post;
 
@@ -205,7 +246,7 @@
   struct Held {
     Node* node;
     double kb = 0;
-    double share = 1;     // delivered, where the node's link does not explain it
+    double share = 1;  // delivered, where the node's link does not explain it
     Micros toldAt = 0;
     bool easing = false;  // the share is smoothed: while it rises the shortage is already over
   };
@@ -222,7 +263,8 @@
     if (!gauge.known) return guess;
     const double read = gauge.now(heard, capacity());
     // Nothing tells that an uplink only felt has room again: it is tried little by little.
-    return felt ? std::max(guess, read - feltDecay * static_cast<double>(post.now - gauge.readAt) / second) : read;
+    return felt ? std::max(guess, read - feltDecay * static_cast<double>(post.now - gauge.readAt) / second)
+                : read;
   }
   void read(const Note& note) override;
   Held& of(const Node* node) {
@@ -247,7 +289,7 @@
 
   std::vector<Sub*> subs;
   double kb = 0;
-  double heard = 0;       // kb, with steps counted once for each director: all hear the same notes and step
+  double heard = 0;  // kb, with steps counted once for each director: all hear the same notes and step
   Trace trace;
   Gauge link;
   double rackUse = 0;
@@ -261,10 +303,10 @@
   int strikes = 0;
   Tally<10> failures{20 * second};
   Micros shutUntil = 0;
-  Micros lostAt = 0;      // a sign that the process died: whatever comes back is cold
+  Micros lostAt = 0;  // a sign that the process died: whatever comes back is cold
   Micros pacedAt = 0;
   Micros reactedAt = 0;
-  Micros wantedAt = 0;    // last asked while closed or over the share
+  Micros wantedAt = 0;  // last asked while closed or over the share
 
   const Terms& terms() const { return post.terms; }
   int places() const {
@@ -274,9 +316,9 @@
   double warmth() const {
     const Micros age = post.now - std::max(readyAt, lostAt);
     if (terms().coldTime <= 0 || age >= terms().coldTime) return 1;
-    return terms().startCapacity +
-           (1 - terms().startCapacity) * static_cast<double>(std::max<Micros>(0, age)) /
-               static_cast<double>(terms().coldTime);
+    return terms().startCapacity + (1 - terms().startCapacity) *
+                                       static_cast<double>(std::max<Micros>(0, age)) /
+                                       static_cast<double>(terms().coldTime);
   }
   // Weights may be silent or rough, but the places of a kind go with its link.
   double capacity() const {
@@ -288,9 +330,9 @@
   }
   double charge(const Sub& sub, int rung) const {
     const bool shared = sub.room->live && std::any_of(subs.begin(), subs.end(), [&](const Sub* other) {
-      return other != &sub && other->room == sub.room && other->rung == rung &&
-             other->viewing.title == sub.viewing.title;
-    });
+                          return other != &sub && other->room == sub.room && other->rung == rung &&
+                                 other->viewing.title == sub.viewing.title;
+                        });
     return rate(sub, rung) * (shared ? terms().joinAdds : 1);
   }
   double gainPerKb(const Sub& sub, int rung) const {  // of the step from rung to rung + 1
@@ -339,7 +381,9 @@
 
   Micros now() const { return post.now; }
   template <class A>
-  void act(A action) { post.out->push_back(std::move(action)); }
+  void act(A action) {
+    post.out->push_back(std::move(action));
+  }
   void read(const Note& note) override;
   void start(Sub& sub);
   void place(Sub& sub);
@@ -416,7 +460,8 @@
   double ours = link.known ? link.now(heard, capacity())
                            : unreadUse + kb / capacity();  // never idle only because nothing is known
   // A reading nobody renews says less and less: a node that looked full must get a trial some day.
-  const Micros stale = post.now - link.readAt - 3 * std::max(terms().reportsEvery, second) - terms().seenAfter;
+  const Micros stale =
+      post.now - link.readAt - 3 * std::max(terms().reportsEvery, second) - terms().seenAfter;
   if (link.known && stale > 0 && ours > lowMark)
     ours = std::max(lowMark * 0.9, ours - 0.1 * static_cast<double>(stale) / second);
   if (shortNow() && !link.known) ours = std::max(ours, 1 / std::max(0.05, delivered));
@@ -447,8 +492,8 @@
   const double bears = places() * terms().startCapacity * terms().overloadFactor /
                        static_cast<double>(terms().coldTime);  // set-ups a microsecond
   if (!cold())
-    return sent.sum(post.now) < std::max(1.0, std::floor(bears * static_cast<double>(terms().fallTime) /
-                                                         terms().directors));
+    return sent.sum(post.now) <
+           std::max(1.0, std::floor(bears * static_cast<double>(terms().fallTime) / terms().directors));
   const auto turn = std::max<Micros>(1, static_cast<Micros>(2 / bears));
   return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
          post.now - pacedAt >= turn;
@@ -471,12 +516,16 @@
 void Node::gate() {
   const double u = use();
   if (!closed) {
-    if (u < highMark) overSince = 0;
-    else if (overSince == 0) overSince = post.now;
+    if (u < highMark)
+      overSince = 0;
+    else if (overSince == 0)
+      overSince = post.now;
     if (overSince != 0 && post.now - overSince >= closeHold) closed = true, underSince = 0;
   } else {
-    if (u > lowMark) underSince = 0;
-    else if (underSince == 0) underSince = post.now;
+    if (u > lowMark)
+      underSince = 0;
+    else if (underSince == 0)
+      underSince = post.now;
     if (underSince != 0 && post.now - underSince >= openHold) closed = false, overSince = 0;
   }
 }
@@ -494,10 +543,16 @@
 
 void Node::answer(Sub& sub) {
   gate();
-  Offer offer{this, !closed && !(sub.overQuota && use() > idleMark), state == NodeState::ready && healthy() && paced(), failures.sum(post.now) == 0, false, use(),
+  Offer offer{this,
+              !closed && !(sub.overQuota && use() > idleMark),
+              state == NodeState::ready && healthy() && paced(),
+              failures.sum(post.now) == 0,
+              false,
+              use(),
               sub.room->floor};
-  const double room = std::max(0.0, std::min((highMark - linkUse()) * capacity(),
-                                             (highMark - rackUse) * std::max(1.0, terms().rackKb) / terms().directors));
+  const double room =
+      std::max(0.0, std::min((highMark - linkUse()) * capacity(),
+                             (highMark - rackUse) * std::max(1.0, terms().rackKb) / terms().directors));
   const double recent = admitted.sum(post.now);
   const double share = spareShare * (room + recent) - recent;
   const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
@@ -547,8 +602,10 @@
     default:
       break;
   }
-  if (report.linkUse) readLink(*report.linkUse, 300'000, false);
-  else if (report.linkShare) readLink(*report.linkShare, 300'000, *report.linkShare > 0.98);
+  if (report.linkUse)
+    readLink(*report.linkUse, 300'000, false);
+  else if (report.linkShare)
+    readLink(*report.linkShare, 300'000, *report.linkShare > 0.98);
   if (report.uplinkUse && rack) post.send(*rack, UplinkSeen{*report.uplinkUse, 300'000});
   gate();
 }
@@ -570,8 +627,10 @@
       break;
     case Reading::link:
       readLink(value, age, false);
-      if (!sub.toldLink) sub.toldLink = true;
-      else react(use(), link.about);
+      if (!sub.toldLink)
+        sub.toldLink = true;
+      else
+        react(use(), link.about);
       break;
     case Reading::uplink:
       if (rack) post.send(*rack, UplinkSeen{value, age});
@@ -590,7 +649,8 @@
   if (about <= reactedAt || u <= 0 || (!down && (u >= idleMark || wanted))) return;
   if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return;
   reactedAt = post.now;
-  const double room = std::min((raiseMark - linkUse()) * capacity(), (raiseMark - rackUse) * std::max(1.0, terms().rackKb));
+  const double room =
+      std::min((raiseMark - linkUse()) * capacity(), (raiseMark - rackUse) * std::max(1.0, terms().rackKb));
   const double goal = down ? kb * (wanted ? wantedMark : aimMark) / u : kb + room / terms().directors;
   std::vector<std::pair<Sub*, int>> plan;
   double planned = 0;
@@ -609,7 +669,8 @@
       if (!down && sub->viewing.length && rung == sub->rung &&
           static_cast<double>(sub->began + *sub->viewing.length - post.now) / second *
                   (terms().rungBenefit[static_cast<std::size_t>(rung) + 1] -
-                   terms().rungBenefit[static_cast<std::size_t>(rung)]) < terms().switchSeconds)
+                   terms().rungBenefit[static_cast<std::size_t>(rung)]) <
+              terms().switchSeconds)
         continue;
       const double gain = down ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
       if (best == nullptr || gain > bestGain) best = &entry, bestGain = gain;
@@ -620,7 +681,8 @@
     const double left = (goal - planned) / change;  // in steps of this size
     // One step is often more than the node's part, and all nodes of a rack would overdo it alike: the last
     // step is taken by chance, so that together they come out right.
-    if (left < 1 && (left * 1000 <= static_cast<double>(post.chance() % 1000) || (!down && change > room))) break;
+    if (left < 1 && (left * 1000 <= static_cast<double>(post.chance() % 1000) || (!down && change > room)))
+      break;
     planned += change;
     rung += down ? -1 : 1;
   }
@@ -668,7 +730,8 @@
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
         if constexpr (std::is_same_v<N, Tick>) gate();
         if constexpr (std::is_same_v<N, UplinkUse>) rackUse = n.use;
-        if constexpr (std::is_same_v<N, Play>) strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
+        if constexpr (std::is_same_v<N, Play>)
+          strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
       },
       note);
 }
@@ -705,7 +768,8 @@
   if (sub.joins >= terms.maxJoins || sub.viewing.giveUpAt - now() < 50'000) return false;
   if (sub.room->seats > 0 && seatsTaken(sub) >= sub.room->seats) return false;
   if (sub.joins > 0 && terms.furtherJoins &&
-      further.sum(now()) + 1 > terms.furtherJoins->few + terms.furtherJoins->share * requests.sum(now()) * 0.9)
+      further.sum(now()) + 1 >
+          terms.furtherJoins->few + terms.furtherJoins->share * requests.sum(now()) * 0.9)
     return false;
   if (sub.ran == nullptr || sub.room->effect == Effect::repeatable) return true;
   return sub.room->effect == Effect::byKey && now() - sub.ranSent < sub.room->window;
@@ -796,7 +860,8 @@
   --seatsTaken(sub);
   Node* node = sub.at;
   sub.at = nullptr;
-  const bool mayHaveRun = outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot;
+  const bool mayHaveRun =
+      outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot;
   if (mayHaveRun) sub.ran = node, sub.ranSent = sub.sent;
   if (sub.playing && outcome != Outcome::ok) {
     broken[sub.viewing.viewer] = now() + courtesySpan;
@@ -816,9 +881,7 @@
   forget(sub);
 }
 
-void Desk::forget(Sub& sub) {
-  subs.erase(sub.id);
-}
+void Desk::forget(Sub& sub) { subs.erase(sub.id); }
 
 }  // namespace
 
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -90,7 +90,8 @@
 }
 
 template <class E>
-E wordIn(const std::string& word, const std::string& what, std::initializer_list<std::pair<const char*, E>> known) {
+E wordIn(const std::string& word, const std::string& what,
+         std::initializer_list<std::pair<const char*, E>> known) {
   for (const auto& [name, value] : known)
     if (word == name) return value;
   bad(what, "unknown word '" + word + "'");
@@ -121,8 +122,9 @@
 }
 
 NodeState stateIn(const std::string& word) {
-  return wordIn<NodeState>(word, "status",
-                           {{"ready", NodeState::ready}, {"draining", NodeState::draining}, {"gone", NodeState::gone}});
+  return wordIn<NodeState>(
+      word, "status",
+      {{"ready", NodeState::ready}, {"draining", NodeState::draining}, {"gone", NodeState::gone}});
 }
 
 LoadReport reportIn(const Json& telemetry) {
@@ -150,7 +152,8 @@
   const std::string type = m.text(at.kind, "kind");
   v.roomType = placeOf(names.roomTypes, type);
   if (v.roomType < 0) bad("kind", "unknown class '" + type + "'");
-  if (m.value(at.account).is_string()) v.party = placeOf(names.parties, m.value(at.account).get<std::string>());
+  if (m.value(at.account).is_string())
+    v.party = placeOf(names.parties, m.value(at.account).get<std::string>());
   v.firstCell = smallIn(m.value(at.firstCell), "firstCell", 0);
   v.holders = smallIn(m.value(at.holders), "holders", 1'000'000);
   v.top = smallIn(m.value(at.top), "top", 1'000'000);
@@ -161,14 +164,15 @@
   return v;
 }
 
-constexpr const char* knownEvents[] = {"OpenInstance", "Stop",     "BackendsChanged", "Demand",
-                                       "Preexisting",  "Begun",    "Change",          "Response",
-                                       "Lapsed",       "DeadlineHit", "ProbeResult",  "NeighbourSays"};
+constexpr const char* knownEvents[] = {"OpenInstance", "Stop",        "BackendsChanged", "Demand",
+                                       "Preexisting",  "Begun",       "Change",          "Response",
+                                       "Lapsed",       "DeadlineHit", "ProbeResult",     "NeighbourSays"};
 
 }  // namespace
 
 Message::Message(const Json& array) : array_(array) {
-  if (!array.is_array() || array.empty() || !array[0].is_string()) bad("message", "not an array that starts with a name");
+  if (!array.is_array() || array.empty() || !array[0].is_string())
+    bad("message", "not an array that starts with a name");
   name_ = array[0].get<std::string>();
 }
 const Json& Message::value(std::size_t place) const {
@@ -199,7 +203,8 @@
   const Json& limits = objectIn(options, "limits");
   const Json& rules = objectIn(options, "rules");
   for (const Json& value : listIn(domain, "ladderKb")) terms.ladderKb.push_back(realIn(value, "ladderKb"));
-  for (const Json& value : listIn(domain, "levelWorth")) terms.rungBenefit.push_back(realIn(value, "levelWorth"));
+  for (const Json& value : listIn(domain, "levelWorth"))
+    terms.rungBenefit.push_back(realIn(value, "levelWorth"));
   if (terms.ladderKb.empty()) terms.ladderKb.push_back(1);
   terms.rungBenefit.resize(terms.ladderKb.size(), terms.rungBenefit.empty() ? 1 : terms.rungBenefit.back());
   for (const Json& value : listIn(domain, "placesByKind"))
@@ -214,8 +219,9 @@
     std::string group = "all";
     read(item, "effect", effect);
     read(item, "dedupScope", group);
-    room.effect = wordIn<Effect>(effect, "effect",
-                                 {{"repeatable", Effect::repeatable}, {"by_key", Effect::byKey}, {"once", Effect::once}});
+    room.effect = wordIn<Effect>(
+        effect, "effect",
+        {{"repeatable", Effect::repeatable}, {"by_key", Effect::byKey}, {"once", Effect::once}});
     room.group = wordIn<Group>(group, "dedupScope",
                                {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
     readMicros(item, "windowNs", room.window);
@@ -223,7 +229,8 @@
     read(item, "points", room.benefit);
     const std::size_t place = terms.roomTypes.size();
     room.top = topRung;
-    if (const Json* v = itemIn(listIn(domain, "rateFactor"), place)) room.rateFactor = realIn(*v, "rateFactor");
+    if (const Json* v = itemIn(listIn(domain, "rateFactor"), place))
+      room.rateFactor = realIn(*v, "rateFactor");
     if (const Json* v = itemIn(listIn(domain, "floorByClass"), place))
       room.floor = static_cast<int>(wholeIn(*v, "floorByClass", 0, topRung));
     if (const Json* v = itemIn(listIn(domain, "classTop"), place))
@@ -246,7 +253,8 @@
     names.parties.push_back(name);
     terms.quotaPerSecond.push_back(quota);
   }
-  for (const Json& item : listIn(options, "machineTypes")) names.kinds.push_back(textIn(item, "machineTypes"));
+  for (const Json& item : listIn(options, "machineTypes"))
+    names.kinds.push_back(textIn(item, "machineTypes"));
   if (found(rules, "lookBackNs") != nullptr) {
     FurtherJoins budget;
     read(rules, "extraFloor", budget.few);
@@ -278,8 +286,7 @@
   read(limits, "cancelling", terms.cancelling);
   std::string discovery = "pushed";
   read(options, "discovery", discovery);
-  terms.listOnRequest =
-      wordIn<bool>(discovery, "discovery", {{"pushed", false}, {"on_request", true}});
+  terms.listOnRequest = wordIn<bool>(discovery, "discovery", {{"pushed", false}, {"on_request", true}});
   return terms;
 }
 
@@ -313,8 +320,7 @@
   }
   if (name == "Preexisting")
     return {UnderWay{viewingOf(m, names, {11, 13, 4, 9, 3, 7, 10, 12, 8, 5}), nodeIn(m.value(6))}};
-  if (name == "Begun")
-    return {Began{subIn(m.value(2)), smallIn(m.value(3), "attempt", 0)}};
+  if (name == "Begun") return {Began{subIn(m.value(2)), smallIn(m.value(3), "attempt", 0)}};
   if (name == "Change") {
     const std::int64_t kind = wholeIn(m.value(5), "kind");
     if (kind < 1 || kind > 4) bad("kind", "unknown note " + std::to_string(kind));
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -13,7 +13,8 @@
   }
   if (!batch.is_object()) throw BadInput("batch: not an object");
   if (!batch.contains("wallNs")) throw BadInput("wallNs: missing");
-  if (!batch.contains("inbox") || !batch["inbox"].is_array()) throw BadInput("inbox: missing or not an array");
+  if (!batch.contains("inbox") || !batch["inbox"].is_array())
+    throw BadInput("inbox: missing or not an array");
   const Micros now = clockOf(batch["wallNs"]);
   Json out = Json::array();
   std::size_t place = 0;
@@ -32,7 +33,8 @@
   const Message message(array);
   if (message.name() == "Page") {
     const std::int64_t number = message.whole(1, "buffer");
-    if (number < 0 || number >= static_cast<std::int64_t>(pages_.size())) throw BadInput("buffer: out of range");
+    if (number < 0 || number >= static_cast<std::int64_t>(pages_.size()))
+      throw BadInput("buffer: out of range");
     checkRows(message.value(2));
     pages_[static_cast<std::size_t>(number)] = message.value(2);
     return;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -35,8 +35,10 @@
   std::istringstream in(text.substr(0, text.find('#')));
   for (std::string word; in >> word;) {
     const auto equals = word.find('=');
-    if (equals == std::string::npos || equals == 0) line.words.push_back(word);
-    else line.values[word.substr(0, equals)] = word.substr(equals + 1);
+    if (equals == std::string::npos || equals == 0)
+      line.words.push_back(word);
+    else
+      line.values[word.substr(0, equals)] = word.substr(equals + 1);
   }
   return line;
 }
@@ -123,15 +125,16 @@
     if (l.has("ladder")) terms_.ladderKb = numbers(l.text("ladder"));
     if (l.has("benefit")) terms_.rungBenefit = numbers(l.text("benefit"));
     if (l.has("places")) terms_.placesByKind = {l.whole("places")};
-    if (l.has("further")) terms_.furtherJoins = FurtherJoins{l.whole("few"), l.number("further"), l.ms("window")};
+    if (l.has("further"))
+      terms_.furtherJoins = FurtherJoins{l.whole("few"), l.number("further"), l.ms("window")};
   }
 
   void readRoom(const Line& l) {
     RoomType room;
     rooms_.push_back(l.words.at(1));
-    room.effect = pick<Effect>(l.text("effect", "repeatable"), {{"repeatable", Effect::repeatable},
-                                                                {"byKey", Effect::byKey},
-                                                                {"once", Effect::once}});
+    room.effect =
+        pick<Effect>(l.text("effect", "repeatable"),
+                     {{"repeatable", Effect::repeatable}, {"byKey", Effect::byKey}, {"once", Effect::once}});
     room.group = pick<Group>(l.text("group", "all"),
                              {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
     room.window = l.ms("window", 5000);
@@ -214,17 +217,21 @@
       return send(Noted{sub(l.words.at(1)), nodeOf(l, 99), reading, std::stod(l.words.at(3))});
     }
     if (verb == "ended") {
-      const auto outcome = pick<Outcome>(
-          l.words.at(2),
-          {{"ok", Outcome::ok}, {"error", Outcome::error}, {"full", Outcome::full}, {"timeout", Outcome::timeout},
-           {"connectFailed", Outcome::connectFailed}, {"reset", Outcome::reset},
-           {"cancelled", Outcome::cancelled}, {"moot", Outcome::moot}});
+      const auto outcome = pick<Outcome>(l.words.at(2), {{"ok", Outcome::ok},
+                                                         {"error", Outcome::error},
+                                                         {"full", Outcome::full},
+                                                         {"timeout", Outcome::timeout},
+                                                         {"connectFailed", Outcome::connectFailed},
+                                                         {"reset", Outcome::reset},
+                                                         {"cancelled", Outcome::cancelled},
+                                                         {"moot", Outcome::moot}});
       LoadReport report;
       if (l.has("share")) report.linkShare = l.number("share");
       if (l.has("use")) report.linkUse = l.number("use");
       if (l.has("uplink")) report.uplinkUse = l.number("uplink");
       const bool playing = at_[sub(l.words.at(1))].second;
-      return send(JoinEnded{sub(l.words.at(1)), nodeOf(l, 99), l.whole("join", joins_[sub(l.words.at(1))] - 1), outcome,
+      return send(JoinEnded{sub(l.words.at(1)), nodeOf(l, 99),
+                            l.whole("join", joins_[sub(l.words.at(1))] - 1), outcome,
                             l.whole("settled", playing || outcome == Outcome::ok) != 0, report});
     }
     if (verb == "lapsed") return send(Lapsed{sub(l.words.at(1))});
@@ -282,7 +289,8 @@
     for (int turn = 1; turn <= turns; ++turn) {
       Line one{{l.words.begin() + 4, l.words.end()}, l.values};
       const auto fill = [&](std::string& word) {
-        if (const auto at = word.find('%'); at != std::string::npos) word.replace(at, 1, std::to_string(turn));
+        if (const auto at = word.find('%'); at != std::string::npos)
+          word.replace(at, 1, std::to_string(turn));
       };
       for (auto& word : one.words) fill(word);
       for (auto& [key, word] : one.values) fill(word);
@@ -294,7 +302,8 @@
   static bool matches(const std::string& action, const Line& pattern, std::size_t from) {
     const Words words = split(action).words;
     for (std::size_t i = from; i < pattern.words.size(); ++i)
-      if (i - from >= words.size() || (pattern.words[i] != "*" && pattern.words[i] != words[i - from])) return false;
+      if (i - from >= words.size() || (pattern.words[i] != "*" && pattern.words[i] != words[i - from]))
+        return false;
     return true;
   }
 
@@ -304,14 +313,16 @@
       CHECK(since_.empty());
       return;
     }
-    const auto it = std::find_if(since_.begin(), since_.end(), [&](const auto& a) { return matches(a, l, 1); });
+    const auto it =
+        std::find_if(since_.begin(), since_.end(), [&](const auto& a) { return matches(a, l, 1); });
     CHECK((it != since_.end()) == wanted);
     if (wanted && it != since_.end()) since_.erase(since_.begin(), it + 1);
   }
 
   // "count PATTERN least=A most=B": over all since the last "fresh".
   void count(const Line& l) {
-    const auto hits = std::count_if(since_.begin(), since_.end(), [&](const auto& a) { return matches(a, l, 1); });
+    const auto hits =
+        std::count_if(since_.begin(), since_.end(), [&](const auto& a) { return matches(a, l, 1); });
     INFO("counted " << hits);
     CHECK(hits >= l.whole("least", 0));
     CHECK(hits <= l.whole("most", 1'000'000));
