--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,6 +33,8 @@
 constexpr double spareShare = 0.5;     // of the spare room, per second
 constexpr double rateSpread = 0.15;    // titles run this far over their rung's rate
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
+constexpr Micros slowJoin = 500'000;          // a set-up takes a tenth of a second or two
+constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
 constexpr Micros wantedSpan = 5 * second;  // how long a closed gate remembers who was throttled there
 constexpr Micros dwell = 8 * second;       // between two steps of one subscription
@@ -104,6 +106,7 @@
   bool open = false;
   bool fit = false;    // ready, healthy and, where cold, in its pace
   bool clean = false;  // no failure for a while
+  bool home = false;   // in this director's zone
   bool overShare = false;
   double use = 0;
   int rung = 0;
@@ -115,9 +118,11 @@
   const RoomType* room = nullptr;
   int roomIndex = 0;
   Viewing viewing;
-  Node* at = nullptr;   // the join that is out, or where it plays
-  Node* ran = nullptr;  // a join that may have run there: binds where it may go again
+  Node* at = nullptr;       // the join that is out, or where it plays
+  bool mayHaveRun = false;  // the last join that may have binds where it may go again
   Micros ranSent = 0;
+  std::string ranZone;
+  int ranCell = 0;
   Micros sent = 0;
   Micros began = 0;
   Micros stepped = 0;
@@ -160,6 +165,7 @@
 struct Listed {
   ListEntry entry;
 };
+struct Unlisted {};
 struct Tick {};
 struct UplinkUse {
   double use;
@@ -191,8 +197,8 @@
   bool settled;
 };
 
-using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Tick, UplinkUse, UplinkLoad, UplinkSeen,
-                          Shortfall, Start, Offered, Outcomes>;
+using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Unlisted, Tick, UplinkUse, UplinkLoad,
+                          UplinkSeen, Shortfall, Start, Offered, Outcomes>;
 
 struct Post;
 
@@ -296,8 +302,7 @@
   double delivered = 1;
   Micros deliveredAt = 0;
   bool closed = false;
-  Micros overSince = 0;
-  Micros underSince = 0;
+  Micros turningSince = 0;  // past the mark at which the gate turns
   Tally<10> admitted{second};
   Tally<10> sent{std::max<Micros>(second, post.terms.fallTime)};
   int strikes = 0;
@@ -351,8 +356,9 @@
   bool cold() const;
   bool paced();
   bool healthy() const;
+  bool eligible(const Sub& sub) const;
   void gate();
-  void strike(int hard);
+  void strike();
   void readLink(double value, Micros age, bool capped);
   void react(double use, Micros about);
   void read(const Note& note) override;
@@ -376,8 +382,6 @@
   std::map<int, Tally<10>> partyRate;
   Tally<20> requests;
   Tally<20> further;
-  Tally<8> setUpTime{16 * second};
-  Tally<8> setUps{16 * second};
 
   Micros now() const { return post.now; }
   template <class A>
@@ -508,31 +512,33 @@
   for (const Sub* other : subs) {
     if (other->playing) continue;
     waiting = true;
-    if (post.now - other->sent > 500'000) return false;
+    if (post.now - other->sent > slowJoin) return false;
   }
   return strikes == 0 || !waiting;
 }
 
+bool Node::eligible(const Sub& sub) const {
+  const int cells = std::max(1, terms().cells);
+  const int offset = ((cell - sub.viewing.firstCell) % cells + cells) % cells;
+  if (state != NodeState::ready || offset >= sub.viewing.holders) return false;
+  if (!sub.mayHaveRun || sub.room->effect != Effect::byKey || sub.room->group == Group::all) return true;
+  return sub.room->group == Group::zone ? zone == sub.ranZone : cell == sub.ranCell;
+}
+
 void Node::gate() {
   const double u = use();
-  if (!closed) {
-    if (u < highMark)
-      overSince = 0;
-    else if (overSince == 0)
-      overSince = post.now;
-    if (overSince != 0 && post.now - overSince >= closeHold) closed = true, underSince = 0;
-  } else {
-    if (u > lowMark)
-      underSince = 0;
-    else if (underSince == 0)
-      underSince = post.now;
-    if (underSince != 0 && post.now - underSince >= openHold) closed = false, overSince = 0;
-  }
+  if (closed ? u > lowMark : u < highMark)
+    turningSince = 0;
+  else if (turningSince == 0)
+    turningSince = post.now;
+  if (turningSince == 0 || post.now - turningSince < (closed ? openHold : closeHold)) return;
+  closed = !closed;
+  turningSince = 0;
 }
 
-void Node::strike(int hard) {
+void Node::strike() {
   failures.add(post.now, 1);
-  strikes = std::min(5, strikes + hard);
+  strikes = std::min(5, strikes + 1);
   shutUntil = std::max(shutUntil, post.now + (second / 2 << strikes));
 }
 
@@ -545,8 +551,9 @@
   gate();
   Offer offer{this,
               !closed && !(sub.overQuota && use() > idleMark),
-              state == NodeState::ready && healthy() && paced(),
+              eligible(sub) && healthy() && paced(),
               failures.sum(post.now) == 0,
+              zone == terms().zone,
               false,
               use(),
               sub.room->floor};
@@ -568,7 +575,7 @@
     offer.rung = rung;
   }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
-  if (closed || offer.overShare) wantedAt = post.now;
+  if (offer.fit && (closed || offer.overShare)) wantedAt = post.now;
   post.send(*desk, Offered{&sub, offer});
 }
 
@@ -585,28 +592,24 @@
 void Node::leave(Sub& sub, Outcome outcome, const LoadReport& report) {
   setKb(sub, 0);
   std::erase(subs, &sub);
-  switch (outcome) {
-    case Outcome::error:
-    case Outcome::timeout:
-      strike(1);
-      break;
-    case Outcome::connectFailed:
-    case Outcome::reset:
-      lostAt = post.now;
-      strike(1);
-      break;
-    case Outcome::full:
-      shutUntil = std::max(shutUntil, post.now + second);
-      if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0, false);
-      break;
-    default:
-      break;
+  if (outcome == Outcome::connectFailed || outcome == Outcome::reset) lostAt = post.now;
+  if (outcome == Outcome::full) {
+    shutUntil = std::max(shutUntil, post.now + second);
+    if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0, false);
+  } else if (outcome != Outcome::ok && outcome != Outcome::cancelled && outcome != Outcome::moot) {
+    strike();
+  }
+  if (outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot) {
+    sub.mayHaveRun = true;
+    sub.ranSent = sub.sent;
+    sub.ranZone = zone;
+    sub.ranCell = cell;
   }
   if (report.linkUse)
-    readLink(*report.linkUse, 300'000, false);
+    readLink(*report.linkUse, reportAge, false);
   else if (report.linkShare)
-    readLink(*report.linkShare, 300'000, *report.linkShare > 0.98);
-  if (report.uplinkUse && rack) post.send(*rack, UplinkSeen{*report.uplinkUse, 300'000});
+    readLink(*report.linkShare, reportAge, *report.linkShare > 0.98);
+  if (report.uplinkUse && rack) post.send(*rack, UplinkSeen{*report.uplinkUse, reportAge});
   gate();
 }
 
@@ -728,6 +731,7 @@
         if constexpr (std::is_same_v<N, Leave>) leave(*n.sub, n.outcome, n.report);
         if constexpr (std::is_same_v<N, Hear>) hear(*n.sub, n.reading, n.value);
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
+        if constexpr (std::is_same_v<N, Unlisted>) state = NodeState::gone;
         if constexpr (std::is_same_v<N, Tick>) gate();
         if constexpr (std::is_same_v<N, UplinkUse>) rackUse = n.use;
         if constexpr (std::is_same_v<N, Play>)
@@ -771,26 +775,15 @@
       further.sum(now()) + 1 >
           terms.furtherJoins->few + terms.furtherJoins->share * requests.sum(now()) * 0.9)
     return false;
-  if (sub.ran == nullptr || sub.room->effect == Effect::repeatable) return true;
+  if (!sub.mayHaveRun || sub.room->effect == Effect::repeatable) return true;
   return sub.room->effect == Effect::byKey && now() - sub.ranSent < sub.room->window;
 }
 
 void Desk::place(Sub& sub) {
   if (!mayJoin(sub)) return giveUp(sub);
-  std::vector<Node*> holders;
-  const int cells = std::max(1, post.terms.cells);
-  for (auto& [id, node] : nodes) {
-    const int offset = ((node->cell - sub.viewing.firstCell) % cells + cells) % cells;
-    if (node->state != NodeState::ready || offset >= sub.viewing.holders) continue;
-    if (sub.ran != nullptr && sub.room->effect == Effect::byKey) {
-      if (sub.room->group == Group::zone && node->zone != sub.ran->zone) continue;
-      if (sub.room->group == Group::cell && node->cell != sub.ran->cell) continue;
-    }
-    holders.push_back(node.get());
-  }
-  if (holders.empty()) return giveUp(sub);
-  sub.asked = holders.size();
-  for (Node* node : holders) post.send(*node, Ask{&sub});
+  sub.asked = nodes.size();
+  if (nodes.empty()) return giveUp(sub);
+  for (auto& [id, node] : nodes) post.send(*node, Ask{&sub});
 }
 
 void Desk::decide(Sub& sub) {
@@ -812,7 +805,7 @@
   for (const double under : {idleMark, 1e9}) {
     for (const bool home : {true, false}) {
       for (const Offer& o : offers)
-        if (o.open && o.use < under && (o.node->zone == post.terms.zone) == home) open.push_back(o);
+        if (o.open && o.use < under && o.home == home) open.push_back(o);
       if (!open.empty()) break;
     }
     if (!open.empty()) break;
@@ -857,22 +850,16 @@
 }
 
 void Desk::ended(Sub& sub, Outcome outcome, bool settled) {
-  --seatsTaken(sub);
-  Node* node = sub.at;
+  if (--seatsTaken(sub) == 0) seats.erase({sub.viewing.title, sub.roomIndex});
   sub.at = nullptr;
-  const bool mayHaveRun =
-      outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot;
-  if (mayHaveRun) sub.ran = node, sub.ranSent = sub.sent;
-  if (sub.playing && outcome != Outcome::ok) {
-    broken[sub.viewing.viewer] = now() + courtesySpan;
-  }
+  if (sub.playing && outcome != Outcome::ok) broken[sub.viewing.viewer] = now() + courtesySpan;
   if (settled || sub.answered) return forget(sub);
   place(sub);
 }
 
 // The final answer, at once: throttled where the rules let the viewer come again, terminated otherwise.
 void Desk::giveUp(Sub& sub) {
-  const bool mayReturn = sub.ran == nullptr || sub.room->effect == Effect::repeatable ||
+  const bool mayReturn = !sub.mayHaveRun || sub.room->effect == Effect::repeatable ||
                          (sub.room->effect == Effect::byKey && sub.room->group == Group::all);
   if (mayReturn)
     act(Throttle{sub.id, post.terms.retryAfter ? std::min<Micros>(post.terms.maxRetryAfter, 500'000) : 0});
@@ -916,7 +903,7 @@
   void on(const ListTold& told) {
     if (told.kind == ListKind::lost) return void(askAgainAt = post.now + askAgain);
     if (told.kind != ListKind::changes)
-      for (auto& [id, n] : desk.nodes) n->state = NodeState::gone;
+      for (auto& [id, n] : desk.nodes) post.send(*n, Unlisted{});
     for (const ListEntry& entry : told.entries) {
       Node& n = node(entry.node);
       if (n.rack == nullptr && post.terms.racks > 0) {
@@ -927,11 +914,11 @@
       }
       post.send(n, Listed{entry});
     }
-    post.run();
-    if (post.kbPerPlace > 0 || post.terms.placesByKind.empty()) return;
+    if (post.kbPerPlace > 0) return;
     double places = 0;
-    for (auto& [id, n] : desk.nodes)
-      if (n->state == NodeState::ready) places += n->places();
+    for (const ListEntry& entry : told.entries)
+      if (const auto k = static_cast<std::size_t>(entry.kind); k < post.terms.placesByKind.size())
+        places += post.terms.placesByKind[k];
     if (places > 0) post.kbPerPlace = post.terms.allLinksKb / places;
   }
   void on(const Requested& e) { post.send(desk, Start{&admit(e.viewing)}); }
@@ -972,6 +959,7 @@
   }
   void on(const AlarmRang&) {
     for (auto& [id, n] : desk.nodes) post.send(*n, Tick{});
+    std::erase_if(desk.broken, [&](const auto& entry) { return entry.second < post.now; });
     desk.act(SetAlarm{0, tickSpan});
     // Not at once: a list out of reach is one service that all directors ask.
     if (askAgainAt != 0 && post.now >= askAgainAt) {
