--- a/src/control.cpp
+++ b/src/control.cpp
@@ -575,7 +575,7 @@
     offer.rung = rung;
   }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
-  if (offer.fit && (closed || offer.overShare)) wantedAt = post.now;
+  if (eligible(sub) && (closed || offer.overShare)) wantedAt = post.now;
   post.send(*desk, Offered{&sub, offer});
 }
 
