--- a/src/control.cpp
+++ b/src/control.cpp
@@ -19,12 +19,10 @@
 // The marks of the gate, in parts of a link or uplink. The paper's 85% and 70% of busy threads.
 constexpr double highMark = 0.98;
 constexpr double lowMark = 0.9;
-constexpr double aimMark = 0.94;     // where steps of playing subscriptions bring a limit back to
-constexpr double idleMark = 0.8;     // under it playing subscriptions step up
-constexpr double raiseMark = 0.85;   // where steps up leave it
-constexpr double unreadUse = 0.5;    // of a limit that no reading has told of yet
-constexpr double wantedMark = 0.87;  // and where they leave it when viewers are throttled there
-constexpr double feltDecay = 0.02;   // a second, of an uplink only felt
+constexpr double aimMark = 0.94;    // where steps of playing subscriptions bring a limit back to
+constexpr double idleMark = 0.8;    // under it playing subscriptions step up
+constexpr double raiseMark = 0.85;  // where steps up leave it
+constexpr double unreadUse = 0.5;   // of a link while nothing has been read anywhere
 constexpr Micros quotaSpan = 5 * second;
 constexpr double quotaLean = 1.5;      // a director may see this much more of a tenant than its even part
 constexpr Micros askAgain = second;    // after a call for the list that failed
@@ -32,26 +30,31 @@
 constexpr Micros openHold = 200'000;   // the paper holds 10 s, a quarter of a subscription's life here
 constexpr double spareShare = 0.5;     // of the spare room, per second
 constexpr double rateSpread = 0.15;    // titles run this far over their rung's rate
+constexpr double rackPart = 2;         // newcomers that may meet in an uplink's room
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
 constexpr Micros slowJoin = 500'000;          // a set-up takes a tenth of a second or two
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
-constexpr Micros wantedSpan = 5 * second;  // how long a closed gate remembers who was throttled there
+constexpr Micros movedSpan = 8 * second;   // more than notes are ever late
+constexpr Micros fadeSpan = 10 * second;   // in which a reading not renewed loses its say
+constexpr Micros guessSpan = 10 * second;  // of readings that tell of links not read
 constexpr Micros dwell = 8 * second;       // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
 template <int Buckets>
 class Tally {
  public:
+  static constexpr Micros always = 3600 * second;
   explicit Tally(Micros span) : width_(std::max<Micros>(1, span / Buckets)) {}
   void add(Micros now, double amount) {
     roll(now);
     sums_[slot(bucket_)] += amount;
   }
-  double sum(Micros now) {
+  double sum(Micros now, Micros age = always) {
     roll(now);
     double total = 0;
-    for (double s : sums_) total += s;
+    for (Micros b = bucket_; b > std::max((now - age) / width_, bucket_ - Buckets - 1); --b)
+      total += sums_[slot(b)];
     return total;
   }
 
@@ -70,33 +73,6 @@
   std::array<double, Buckets + 1> sums_{};
 };
 
-// What a figure was at a moment not long past: late notes speak of then, not of now.
-class Trace {
- public:
-  void set(Micros now, double value) {
-    roll(now);
-    values_[slot(bucket_)] = value;
-  }
-  double at(Micros now, Micros age) {
-    roll(now);
-    return values_[slot(bucket_ - std::clamp<Micros>(age / width, 0, depth - 1))];
-  }
-
- private:
-  static constexpr Micros width = 100'000;
-  static constexpr Micros depth = 64;
-  static std::size_t slot(Micros bucket) { return static_cast<std::size_t>((bucket + depth) % depth); }
-  void roll(Micros now) {
-    const Micros current = now / width;
-    if (bucket_ == 0) bucket_ = current;
-    const double last = values_[slot(bucket_)];
-    if (current - bucket_ > depth) bucket_ = current - depth;
-    while (bucket_ < current) values_[slot(++bucket_)] = last;
-  }
-  Micros bucket_ = 0;
-  std::array<double, depth> values_{};
-};
-
 struct Node;
 struct Rack;
 
@@ -141,16 +117,14 @@
 
 struct Ask {
   Sub* sub;
+  double linkGuess;  // what the director's other readings say of a link, and of an uplink
+  double uplinkGuess;
 };
 struct Take {
   Sub* sub;
   int rung;
   bool underWay;
 };
-struct Trim {
-  double use;
-  Micros about;
-};
 struct Play {};
 struct Leave {
   Sub* sub;
@@ -163,17 +137,20 @@
   double value;
 };
 struct Listed {
-  ListEntry entry;
+  std::optional<ListEntry> entry;  // none: a whole list without it
 };
-struct Unlisted {};
-struct Tick {};
 struct UplinkUse {
-  double use;
+  std::optional<double> use;
+  Micros trim;  // over the mark at this moment, else 0
 };
 struct UplinkLoad {
   Node* node;
   double kb;
-  bool step;
+  std::optional<double> linkUse;  // where it has been read
+};
+struct Read {
+  Reading reading;
+  double use;
 };
 struct Shortfall {
   Node* node;
@@ -197,8 +174,8 @@
   bool settled;
 };
 
-using Note = std::variant<Ask, Take, Trim, Play, Leave, Hear, Listed, Unlisted, Tick, UplinkUse, UplinkLoad,
-                          UplinkSeen, Shortfall, Start, Offered, Outcomes>;
+using Note = std::variant<Ask, Read, Take, Play, Leave, Hear, Listed, UplinkUse, UplinkLoad, UplinkSeen,
+                          Shortfall, Start, Offered, Outcomes>;
 
 struct Post;
 
@@ -244,41 +221,48 @@
   Micros about = 0;  // the moment that the reading speaks of
   bool known = false;
 
-  double now(double ours, double capacity) const { return std::max(0.0, use + (ours - oursThen) / capacity); }
+  // A reading nobody renews says less and less: in the end the limit is like any other not read.
+  double now(const Post& post, double ours, double capacity, double guess) const {
+    const Micros due = 3 * std::max(post.terms.reportsEvery, second) + post.terms.seenAfter;
+    const double faded =
+        std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(fadeSpan), 0.0, 1.0);
+    const double read = std::max(0.0, use + (ours - oursThen) / capacity);
+    return known ? read + faded * (std::min(guess, 0.9 * lowMark) - read) : guess;
+  }
 };
 
 struct Rack : Part {
   using Part::Part;
   struct Held {
-    Node* node;
+    Node* node = nullptr;
     double kb = 0;
+    std::optional<double> linkUse;
     double share = 1;  // delivered, where the node's link does not explain it
     Micros toldAt = 0;
     bool easing = false;  // the share is smoothed: while it rises the shortage is already over
   };
   std::vector<Held> nodes;
   Gauge gauge;
-  Trace trace;
+  Tally<64> moved{movedSpan};  // kb come and gone: late notes speak of then, not of now
   double kb = 0;
-  double heard = 0;
   bool felt = false;  // the gauge is inferred from short delivery, not read
 
   double capacity() const { return std::max(1.0, post.terms.rackKb); }
-  double use() const {
-    const double guess = kb * post.terms.directors / capacity();
-    if (!gauge.known) return guess;
-    const double read = gauge.now(heard, capacity());
-    // Nothing tells that an uplink only felt has room again: it is tried little by little.
-    return felt ? std::max(guess, read - feltDecay * static_cast<double>(post.now - gauge.readAt) / second)
-                : read;
+  std::optional<double> use() const {
+    if (gauge.known) return gauge.now(post, kb, capacity(), kb / capacity());
+    // An uplink nobody reports carries what its links are asked for.
+    double links = 0, sum = 0;
+    for (const Held& held : nodes)
+      if (held.linkUse) ++links, sum += *held.linkUse;
+    if (links == 0) return std::nullopt;
+    return sum / links * post.terms.allLinksKb / (post.terms.racks * capacity());
   }
   void read(const Note& note) override;
   Held& of(const Node* node) {
     return *std::find_if(nodes.begin(), nodes.end(), [&](const Held& h) { return h.node == node; });
   }
-  void feel();
-  void trim();
-  void tell();
+  bool feel();
+  void tell(Micros trim);
 };
 
 struct Node : Part {
@@ -295,10 +279,11 @@
 
   std::vector<Sub*> subs;
   double kb = 0;
-  double heard = 0;  // kb, with steps counted once for each director: all hear the same notes and step
-  Trace trace;
+  Tally<64> moved{movedSpan};  // kb come and gone: late notes speak of then, not of now
   Gauge link;
-  double rackUse = 0;
+  std::optional<double> uplink;  // as its rack tells it
+  double linkGuess = unreadUse;
+  double uplinkGuess = 0;
   double delivered = 1;
   Micros deliveredAt = 0;
   bool closed = false;
@@ -311,7 +296,6 @@
   Micros lostAt = 0;  // a sign that the process died: whatever comes back is cold
   Micros pacedAt = 0;
   Micros reactedAt = 0;
-  Micros wantedAt = 0;  // last asked while closed or over the share
 
   const Terms& terms() const { return post.terms; }
   int places() const {
@@ -346,27 +330,32 @@
            std::max(1.0, rate(sub, rung + 1) - rate(sub, rung));
   }
   double linkUse() const;
-  double use() const { return std::max(linkUse(), rackUse); }
+  double rackUse() const { return uplink.value_or(uplinkGuess); }
+  double use() const { return std::max(linkUse(), rackUse()); }
   bool shortNow() const {
     return delivered < 0.98 && post.now - deliveredAt < 2 * second + terms().seenAfter;
   }
   void feel(double before);
+  void step(Sub& sub, int rung);
   bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
-  void setKb(Sub& sub, double charged, bool step = false);
+  void tellRack(double change);
+  void setKb(Sub& sub, double charged);
   bool cold() const;
   bool paced();
   bool healthy() const;
   bool eligible(const Sub& sub) const;
   void gate();
   void strike();
-  void readLink(double value, Micros age, bool capped);
-  void react(double use, Micros about);
+  void readLink(double value, Micros age);
+  void readUplink(double value, Micros age);
+  void react(Micros about);
   void read(const Note& note) override;
-  void answer(Sub& sub);
+  void answer(const Ask& ask);
+  double roomUnder(double mark) const;
   void take(Sub& sub, int rung, bool underWay);
   void leave(Sub& sub, Outcome outcome, const LoadReport& report);
   void hear(Sub& sub, Reading reading, double value);
-  void listed(const ListEntry& entry);
+  void listed(const std::optional<ListEntry>& told);
 };
 
 struct Desk : Part {
@@ -377,9 +366,11 @@
   std::map<SubId, std::unique_ptr<Sub>> subs;
   std::map<NodeId, std::unique_ptr<Node>> nodes;
   std::map<int, std::unique_ptr<Rack>> racks;
+  std::map<int, std::vector<Node*>> cells;
   std::map<std::pair<std::string, int>, int> seats;
   std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
   std::map<int, Tally<10>> partyRate;
+  Tally<10> linkSum{guessSpan}, linkCount{guessSpan}, uplinkSum{guessSpan}, uplinkCount{guessSpan};
   Tally<20> requests;
   Tally<20> further;
 
@@ -405,37 +396,33 @@
 
 void Rack::read(const Note& note) {
   if (const auto* load = std::get_if<UplinkLoad>(&note)) {
-    of(load->node).kb += load->kb;
+    Held& from = of(load->node);
+    from.kb += load->kb;
+    from.linkUse = load->linkUse;
     kb += load->kb;
-    heard += load->kb * (load->step ? post.terms.directors : 1);
-    trace.set(post.now, heard);
+    moved.add(post.now, load->kb);
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
-    gauge = {seen->use, trace.at(post.now, seen->age), post.now, post.now - seen->age, true};
+    gauge = {seen->use, kb - moved.sum(post.now, seen->age), post.now, post.now - seen->age, true};
     felt = false;
-    if (seen->use > highMark) trim();
+    if (seen->use > highMark) return tell(gauge.about);
   } else if (const auto* lack = std::get_if<Shortfall>(&note)) {
     Held& from = of(lack->node);
     from.easing = lack->share > from.share;
     from.share = lack->explained ? 1 : lack->share;
     from.toldAt = post.now;
-    feel();
+    if (feel()) return tell(gauge.about);
   }
-  tell();
+  tell(0);
 }
 
-void Rack::trim() {
-  tell();
-  for (Held& held : nodes) post.send(*held.node, Trim{use(), gauge.about});
-}
-
-void Rack::tell() {
-  const double told = use();
-  for (Held& held : nodes) post.send(*held.node, UplinkUse{told});
+void Rack::tell(Micros trim) {
+  const std::optional<double> told = use();
+  for (Held& held : nodes) post.send(*held.node, UplinkUse{told, trim});
 }
 
 // Guards against an uplink that is short where no report tells of uplinks: nodes of one rack deliver short
 // together though none of their links is asked too much. One node alone may just hang.
-void Rack::feel() {
+bool Rack::feel() {
   int held = 0, sharing = 0;
   double sum = 0, least = 1, most = 0;
   bool easing = false;
@@ -449,36 +436,32 @@
     least = std::min(least, h.share);
     most = std::max(most, h.share);
   }
-  if (sharing < 2 || sharing * 2 < held || most - least > 0.15 || easing) return;
+  if (sharing < 2 || sharing * 2 < held || most - least > 0.15 || easing) return false;
   const double implied = sharing / sum;
-  if (implied <= use() || (felt && post.now - gauge.readAt < second / 2)) return;
+  if (implied <= use().value_or(0) || (felt && post.now - gauge.readAt < second / 2)) return false;
   const Micros age = post.terms.seenAfter;
-  gauge = {implied, trace.at(post.now, age), post.now, post.now - age, true};
+  gauge = {implied, kb - moved.sum(post.now, age), post.now, post.now - age, true};
   felt = true;
-  if (gauge.use > highMark) trim();
+  return implied > highMark;
 }
 
 // ---- media node ----
 
 double Node::linkUse() const {
-  double ours = link.known ? link.now(heard, capacity())
-                           : unreadUse + kb / capacity();  // never idle only because nothing is known
-  // A reading nobody renews says less and less: a node that looked full must get a trial some day.
-  const Micros stale =
-      post.now - link.readAt - 3 * std::max(terms().reportsEvery, second) - terms().seenAfter;
-  if (link.known && stale > 0 && ours > lowMark)
-    ours = std::max(lowMark * 0.9, ours - 0.1 * static_cast<double>(stale) / second);
-  if (shortNow() && !link.known) ours = std::max(ours, 1 / std::max(0.05, delivered));
-  return ours;
-}
-
-void Node::setKb(Sub& sub, double charged, bool step) {
+  const double read = link.now(post, kb, capacity(), linkGuess + kb / capacity());
+  return shortNow() && !link.known ? std::max(read, 1 / std::max(0.05, delivered)) : read;
+}
+
+void Node::tellRack(double change) {
+  if (rack) post.send(*rack, UplinkLoad{this, change, link.known ? std::optional(linkUse()) : std::nullopt});
+}
+
+void Node::setKb(Sub& sub, double charged) {
   const double change = charged - sub.kb;
   kb += change;
-  heard += change * (step ? terms().directors : 1);
   sub.kb = charged;
-  if (rack) post.send(*rack, UplinkLoad{this, change, step});
-  trace.set(post.now, heard);
+  moved.add(post.now, change);
+  tellRack(change);
 }
 
 bool Node::cold() const {
@@ -542,12 +525,28 @@
   shutUntil = std::max(shutUntil, post.now + (second / 2 << strikes));
 }
 
-void Node::readLink(double value, Micros age, bool capped) {
-  if (capped && link.known && link.now(heard, capacity()) >= 1) return;
-  link = {value, trace.at(post.now, age), post.now, post.now - age, true};
+void Node::readLink(double value, Micros age) {
+  link = {value, kb - moved.sum(post.now, age), post.now, post.now - age, true};
+  tellRack(0);
+  post.send(*desk, Read{Reading::link, value});
+}
+
+void Node::readUplink(double value, Micros age) {
+  if (rack == nullptr) return;
+  post.send(*rack, UplinkSeen{value, age});
+  post.send(*desk, Read{Reading::uplink, value});
+}
+
+// Of an uplink a newcomer sees one node's part, since as many may come to each of the others.
+double Node::roomUnder(double mark) const {
+  return std::min((mark - linkUse()) * capacity(),
+                  (mark - rackUse()) * std::max(1.0, terms().rackKb) / rackPart);
 }
 
-void Node::answer(Sub& sub) {
+void Node::answer(const Ask& ask) {
+  Sub& sub = *ask.sub;
+  linkGuess = ask.linkGuess;
+  uplinkGuess = ask.uplinkGuess;
   gate();
   Offer offer{this,
               !closed && !(sub.overQuota && use() > idleMark),
@@ -557,25 +556,16 @@
               false,
               use(),
               sub.room->floor};
-  const double room =
-      std::max(0.0, std::min((highMark - linkUse()) * capacity(),
-                             (highMark - rackUse) * std::max(1.0, terms().rackKb) / terms().directors));
+  const double room = std::max(0.0, roomUnder(highMark));
   const double recent = admitted.sum(post.now);
   const double share = spareShare * (room + recent) - recent;
   const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
   offer.rung = sub.room->floor;
-  // Where room is scarce a newcomer gets no step that would be the first to be taken back.
-  double cheapest = subs.empty() ? 0 : 1e9;
-  for (const Sub* held : subs)
-    if (held->rung > held->room->floor) cheapest = std::min(cheapest, gainPerKb(*held, held->rung - 1));
-  const double free = room - (highMark - idleMark) * capacity();
   for (int rung = sub.room->floor + 1; rung <= top; ++rung) {
     if (rate(sub, rung) * (1 + rateSpread) > share) break;
-    if (rate(sub, rung) > free && gainPerKb(sub, rung - 1) < cheapest) break;
     offer.rung = rung;
   }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
-  if (eligible(sub) && (closed || offer.overShare)) wantedAt = post.now;
   post.send(*desk, Offered{&sub, offer});
 }
 
@@ -595,7 +585,7 @@
   if (outcome == Outcome::connectFailed || outcome == Outcome::reset) lostAt = post.now;
   if (outcome == Outcome::full) {
     shutUntil = std::max(shutUntil, post.now + second);
-    if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0, false);
+    if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0);
   } else if (outcome != Outcome::ok && outcome != Outcome::cancelled && outcome != Outcome::moot) {
     strike();
   }
@@ -605,11 +595,8 @@
     sub.ranZone = zone;
     sub.ranCell = cell;
   }
-  if (report.linkUse)
-    readLink(*report.linkUse, reportAge, false);
-  else if (report.linkShare)
-    readLink(*report.linkShare, reportAge, *report.linkShare > 0.98);
-  if (report.uplinkUse && rack) post.send(*rack, UplinkSeen{*report.uplinkUse, reportAge});
+  if (const auto& told = report.linkUse ? report.linkUse : report.linkShare) readLink(*told, reportAge);
+  if (report.uplinkUse) readUplink(*report.uplinkUse, reportAge);
   gate();
 }
 
@@ -629,14 +616,14 @@
       setKb(sub, charge(sub, sub.rung));
       break;
     case Reading::link:
-      readLink(value, age, false);
+      readLink(value, age);
       if (!sub.toldLink)
         sub.toldLink = true;
       else
-        react(use(), link.about);
+        react(link.about);
       break;
     case Reading::uplink:
-      if (rack) post.send(*rack, UplinkSeen{value, age});
+      readUplink(value, age);
       break;
   }
   gate();
@@ -644,17 +631,15 @@
 
 // A departure from leaving playing subscriptions alone: once per round of notes, a node over the high mark
 // gives back its own part of the excess and one under the low mark takes up its own part of the room. Every
-// director hears the same note, so each scales only what is its own, and waits for a note that speaks of a
-// moment after that before it does so again.
-void Node::react(double u, Micros about) {
-  const bool wanted = wantedAt != 0 && post.now - wantedAt < wantedSpan;
-  const bool down = u > highMark || (wanted && closed && u > lowMark);
-  if (about <= reactedAt || u <= 0 || (!down && (u >= idleMark || wanted))) return;
-  if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return;
+// director hears the same note, so each scales only what is its own, by the same factor however many they
+// are, and waits for a note that speaks of a moment after that before it does so again.
+void Node::react(Micros about) {
+  const double u = use();
+  const bool down = u > highMark;
+  if (about <= reactedAt || u <= 0 || (!down && u >= idleMark)) return;
   reactedAt = post.now;
-  const double room =
-      std::min((raiseMark - linkUse()) * capacity(), (raiseMark - rackUse) * std::max(1.0, terms().rackKb));
-  const double goal = down ? kb * (wanted ? wantedMark : aimMark) / u : kb + room / terms().directors;
+  const double mark = down ? aimMark : raiseMark;
+  const double goal = kb * mark / u;
   std::vector<std::pair<Sub*, int>> plan;
   double planned = 0;
   for (Sub* sub : subs) {
@@ -682,20 +667,26 @@
     auto& [sub, rung] = *best;
     const double change = rate(*sub, rung + (down ? -1 : 1)) - rate(*sub, rung);
     const double left = (goal - planned) / change;  // in steps of this size
-    // One step is often more than the node's part, and all nodes of a rack would overdo it alike: the last
-    // step is taken by chance, so that together they come out right.
-    if (left < 1 && (left * 1000 <= static_cast<double>(post.chance() % 1000) || (!down && change > room)))
-      break;
+    // All nodes of a rack would overdo a last step down alike: it is taken by chance, so that together they
+    // come out right. One up is a price: most of it must fit.
+    const bool fits = down ? left * 1000 > static_cast<double>(post.chance() % 1000)
+                           : left >= 0.5 && change <= roomUnder(highMark);
+    if (left < 1 && !fits) break;
     planned += change;
     rung += down ? -1 : 1;
   }
-  for (auto& [sub, rung] : plan) {
-    if (rung == sub->rung) continue;
-    sub->rung = rung;
-    sub->stepped = post.now;
-    setKb(*sub, charge(*sub, rung), true);
-    post.out->push_back(SetRung{sub->id, rung});
-  }
+  // The others have heard the same and done alike, as far as can be told from here.
+  if (!down && kb > 0)
+    link.use += std::max(0.0, link.use - link.oursThen / capacity()) * (std::min(planned / kb, mark / u) - 1);
+  for (auto& [sub, rung] : plan)
+    if (rung != sub->rung) step(*sub, rung);
+}
+
+void Node::step(Sub& sub, int rung) {
+  sub.rung = rung;
+  sub.stepped = post.now;
+  setKb(sub, charge(sub, rung));
+  post.out->push_back(SetRung{sub.id, rung});
 }
 
 // Guards against reports that stay out or come late: where a link is read as nearly full and delivery is
@@ -705,11 +696,13 @@
   if (delivered > 0.97 || delivered < 0.4 || delivered > before) return;
   if (link.known && linkUse() < 0.9 && post.now - link.about < 2 * terms().reportsEvery + age) return;
   if (1 / delivered <= use()) return;
-  readLink(1 / delivered, age, false);
-  react(use(), link.about);
+  readLink(1 / delivered, age);
+  react(link.about);
 }
 
-void Node::listed(const ListEntry& entry) {
+void Node::listed(const std::optional<ListEntry>& told) {
+  if (!told) return void(state = NodeState::gone);
+  const ListEntry& entry = *told;
   state = entry.state;
   kind = entry.kind;
   weight = entry.weight;
@@ -725,15 +718,15 @@
   std::visit(
       [this](const auto& n) {
         using N = std::decay_t<decltype(n)>;
-        if constexpr (std::is_same_v<N, Ask>) answer(*n.sub);
+        if constexpr (std::is_same_v<N, Ask>) answer(n);
         if constexpr (std::is_same_v<N, Take>) take(*n.sub, n.rung, n.underWay);
-        if constexpr (std::is_same_v<N, Trim>) react(n.use, n.about);
         if constexpr (std::is_same_v<N, Leave>) leave(*n.sub, n.outcome, n.report);
         if constexpr (std::is_same_v<N, Hear>) hear(*n.sub, n.reading, n.value);
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
-        if constexpr (std::is_same_v<N, Unlisted>) state = NodeState::gone;
-        if constexpr (std::is_same_v<N, Tick>) gate();
-        if constexpr (std::is_same_v<N, UplinkUse>) rackUse = n.use;
+        if constexpr (std::is_same_v<N, UplinkUse>) {
+          uplink = n.use;
+          if (n.trim != 0) react(n.trim);
+        }
         if constexpr (std::is_same_v<N, Play>)
           strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
       },
@@ -744,6 +737,11 @@
 
 void Desk::read(const Note& note) {
   if (const auto* s = std::get_if<Start>(&note)) start(*s->sub);
+  if (const auto* r = std::get_if<Read>(&note)) {
+    const bool link = r->reading == Reading::link;
+    (link ? linkSum : uplinkSum).add(now(), r->use);
+    (link ? linkCount : uplinkCount).add(now(), 1);
+  }
   if (const auto* o = std::get_if<Outcomes>(&note)) ended(*o->sub, o->outcome, o->settled);
   if (const auto* o = std::get_if<Offered>(&note)) {
     o->sub->offers.push_back(o->offer);
@@ -781,9 +779,19 @@
 
 void Desk::place(Sub& sub) {
   if (!mayJoin(sub)) return giveUp(sub);
-  sub.asked = nodes.size();
-  if (nodes.empty()) return giveUp(sub);
-  for (auto& [id, node] : nodes) post.send(*node, Ask{&sub});
+  std::vector<Node*> holders;
+  for (int j = 0; j < sub.viewing.holders; ++j) {
+    const auto at = cells.find((sub.viewing.firstCell + j) % std::max(1, post.terms.cells));
+    if (at != cells.end()) holders.insert(holders.end(), at->second.begin(), at->second.end());
+  }
+  sub.asked = holders.size();
+  if (holders.empty()) return giveUp(sub);
+  // What has been read of late tells of those not read: with many directors most holders are strangers.
+  const double links = linkCount.sum(now()), uplinks = uplinkCount.sum(now());
+  const double link = (linkSum.sum(now()) + unreadUse) / (links + 1);
+  const double carried = link * post.terms.allLinksKb / std::max(1.0, post.terms.racks * post.terms.rackKb);
+  const Ask ask{&sub, link, uplinks > 0 ? uplinkSum.sum(now()) / uplinks : carried};
+  for (Node* node : holders) post.send(*node, ask);
 }
 
 void Desk::decide(Sub& sub) {
@@ -902,15 +910,20 @@
 
   void on(const ListTold& told) {
     if (told.kind == ListKind::lost) return void(askAgainAt = post.now + askAgain);
-    if (told.kind != ListKind::changes)
-      for (auto& [id, n] : desk.nodes) post.send(*n, Unlisted{});
+    if (told.kind != ListKind::changes) {
+      for (auto& [id, n] : desk.nodes) post.send(*n, Listed{});
+      desk.cells.clear();
+    }
     for (const ListEntry& entry : told.entries) {
       Node& n = node(entry.node);
+      auto& inCell = desk.cells[entry.cell];
+      std::erase(inCell, &n);
+      if (entry.state == NodeState::ready) inCell.push_back(&n);
       if (n.rack == nullptr && post.terms.racks > 0) {
         auto& rack = desk.racks[entry.cell % post.terms.racks];
         if (!rack) rack = std::make_unique<Rack>(post);
         n.rack = rack.get();
-        rack->nodes.push_back({&n});
+        rack->nodes.emplace_back().node = &n;
       }
       post.send(n, Listed{entry});
     }
@@ -958,7 +971,6 @@
     if (!sub->playing && post.terms.cancelling) desk.act(CallOff{sub->id, sub->joins - 1});
   }
   void on(const AlarmRang&) {
-    for (auto& [id, n] : desk.nodes) post.send(*n, Tick{});
     std::erase_if(desk.broken, [&](const auto& entry) { return entry.second < post.now; });
     desk.act(SetAlarm{0, tickSpan});
     // Not at once: a list out of reach is one service that all directors ask.
