All events of a turn at once; cold nodes paced by chance where directors are many

Cause looked for: directors that stand still find answers, drains and requests in one batch. Their own joins looked silent for 2 s and shut nodes; a request before the word of a drain in the same batch went to the draining node. The interface now takes a turn's events: what tells of nodes and joins first, then requests, nearest their client timeout first; a stretch without a turn does not count as silence. Cold nodes: turns of one set-up for each of 300 directors come round after the cold time, so cold nodes and such as showed a reset idled. With many directors a director's own requests of 30 s, times the directors, tell how many come in a turn; one of them goes by chance. Also guards a crowd on one title after a mass restart. It could harm where one director has most of a crowd: its turns go unused.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,6 +1,6 @@
 // The decisions of lupinsill: which media node a subscription joins, at which rung, or whether it is
-// throttled. Called through Control::handle (control.h) with one event at a time; every answer it gives
-// is an Action appended to the caller's list. handle() turns the event's ids into parts, puts a note into
+// throttled. Called through Control::handle (control.h) with all events of one turn; every answer it gives
+// is an Action appended to the caller's list. handle() turns the events' ids into parts, puts a note into
 // one part's inbox and lets the post office empty the inboxes; parts reach each other in no other way.
 #include "control.h"
 
@@ -35,6 +35,8 @@
 constexpr Micros slowJoin = 500'000;          // a set-up takes a tenth of a second or two
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
+constexpr Micros comersSpan = 30 * second;
+constexpr double drawnOf = 4;              // holders to one set-up: two are drawn, and half may be closed
 constexpr Micros movedSpan = 8 * second;   // more than notes are ever late
 constexpr Micros fadeSpan = 10 * second;   // in which a reading not renewed loses its say
 constexpr Micros guessSpan = 10 * second;  // of readings that tell of links not read
@@ -94,11 +96,9 @@
   const RoomType* room = nullptr;
   int roomIndex = 0;
   Viewing viewing;
-  Node* at = nullptr;       // the join that is out, or where it plays
-  bool mayHaveRun = false;  // the last join that may have binds where it may go again
+  Node* at = nullptr;   // the join that is out, or where it plays
+  Node* ran = nullptr;  // the last join that may have run binds where it may go again
   Micros ranSent = 0;
-  std::string ranZone;
-  int ranCell = 0;
   Micros sent = 0;
   Micros began = 0;
   Micros stepped = 0;
@@ -208,6 +208,7 @@
   std::minstd_rand chance;
   Micros now = 0;
   Micros born = 0;
+  Micros wokeAt = 0;      // the end of the last stretch in which this director got no turn
   double kbPerPlace = 0;  // from the first list: all links over all places
   std::vector<Action>* out = nullptr;
   std::deque<Part*> due;
@@ -266,15 +267,11 @@
 };
 
 struct Node : Part {
-  Node(Post& office, Part& front, NodeId number) : Part(office), desk(&front), id(number) {}
+  Node(Post& office, Part& front, NodeId number) : Part(office), desk(&front) {
+    listing.node = number, listing.state = NodeState::gone;
+  }
   Part* desk;
-  NodeId id;
-  NodeState state = NodeState::gone;
-  std::string zone;
-  int cell = 0;
-  int kind = 0;
-  double weight = 1;
-  Micros readyAt = 0;
+  ListEntry listing;  // as last told, but for an earlier start
   Rack* rack = nullptr;
 
   std::vector<Sub*> subs;
@@ -289,7 +286,7 @@
   bool closed = false;
   Micros turningSince = 0;  // past the mark at which the gate turns
   Tally<10> admitted{second};
-  Tally<10> sent{std::max<Micros>(second, post.terms.fallTime)};
+  Tally<10> comers{comersSpan};  // requests that this node could have taken
   int strikes = 0;
   Tally<10> failures{20 * second};
   Micros shutUntil = 0;
@@ -299,19 +296,18 @@
 
   const Terms& terms() const { return post.terms; }
   int places() const {
-    const auto k = static_cast<std::size_t>(kind);
+    const auto k = static_cast<std::size_t>(listing.kind);
     return k < terms().placesByKind.size() ? std::max(1, terms().placesByKind[k]) : 1;
   }
+  bool cold() const { return post.now - std::max(listing.readyAt, lostAt) < terms().coldTime; }
   double warmth() const {
-    const Micros age = post.now - std::max(readyAt, lostAt);
-    if (terms().coldTime <= 0 || age >= terms().coldTime) return 1;
-    return terms().startCapacity + (1 - terms().startCapacity) *
-                                       static_cast<double>(std::max<Micros>(0, age)) /
-                                       static_cast<double>(terms().coldTime);
+    const double age = std::max(0.0, static_cast<double>(post.now - std::max(listing.readyAt, lostAt)));
+    if (!cold()) return 1;
+    return terms().startCapacity + (1 - terms().startCapacity) * age / static_cast<double>(terms().coldTime);
   }
   // Weights may be silent or rough, but the places of a kind go with its link.
   double capacity() const {
-    const double full = post.kbPerPlace > 0 ? post.kbPerPlace * places() : terms().weightKb * weight;
+    const double full = post.kbPerPlace > 0 ? post.kbPerPlace * places() : terms().weightKb * listing.weight;
     return std::max(1.0, full * warmth());
   }
   double rate(const Sub& sub, int rung) const {
@@ -340,8 +336,7 @@
   bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
   void tellRack(double change);
   void setKb(Sub& sub, double charged);
-  bool cold() const;
-  bool paced();
+  bool paced(int holders);
   bool healthy() const;
   bool eligible(const Sub& sub) const;
   void gate();
@@ -375,10 +370,7 @@
   Tally<20> further;
 
   Micros now() const { return post.now; }
-  template <class A>
-  void act(A action) {
-    post.out->push_back(std::move(action));
-  }
+  void act(Action action) { post.out->push_back(std::move(action)); }
   void read(const Note& note) override;
   void start(Sub& sub);
   void place(Sub& sub);
@@ -386,7 +378,6 @@
   void join(Sub& sub, const Offer& offer);
   void ended(Sub& sub, Outcome outcome, bool settled);
   void giveUp(Sub& sub);
-  void forget(Sub& sub);
   bool mayJoin(const Sub& sub);
   Micros patience(const Sub& sub);
   int& seatsTaken(const Sub& sub) { return seats[{sub.viewing.title, sub.roomIndex}]; }
@@ -464,26 +455,24 @@
   tellRack(change);
 }
 
-bool Node::cold() const {
-  return terms().coldTime > 0 && post.now - std::max(readyAt, lostAt) < terms().coldTime;
-}
-
-// Guards against pushing a cold node over, all directors together: time is cut into turns of one set-up at
-// half the multiple allowed, and each director sends in the first half of its own turns only, so no two
-// sends of different directors meet. A restarted director keeps to its turns without any memory. For a
-// while after its own start any node may have restarted unseen: each gets a director's part of what even a
-// cold one bears, since many viewers come back at once and turns would throttle them for little.
-bool Node::paced() {
+// Guards against pushing a cold node over, all directors together, without talk or memory. Time is cut into
+// turns of one set-up at half the multiple allowed. Few directors take them in order, in the first half of
+// each, so that no two meet. Where a round would outlast the cold time nearly all turns would pass unused:
+// there a director's own requests tell how many come in a turn from all, and by chance one of them goes.
+// For a while after its own start any node may have restarted unseen: a first set-up goes, more are paced.
+bool Node::paced(int holders) {
   const bool unsure = post.now - post.born < terms().coldTime;
   if (!cold() && !unsure) return true;
   const double bears = places() * terms().startCapacity * terms().overloadFactor /
                        static_cast<double>(terms().coldTime);  // set-ups a microsecond
-  if (!cold())
-    return sent.sum(post.now) <
-           std::max(1.0, std::floor(bears * static_cast<double>(terms().fallTime) / terms().directors));
   const auto turn = std::max<Micros>(1, static_cast<Micros>(2 / bears));
-  return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
-         post.now - pacedAt >= turn;
+  if (cold() && turn * terms().directors < terms().coldTime)
+    return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
+           post.now - pacedAt >= turn;
+  const double own =
+      (comers.sum(post.now) - (cold() ? 0 : 1)) * std::min(1.0, drawnOf / std::max(1, holders));
+  const double likely = own * terms().directors * static_cast<double>(turn) / static_cast<double>(comersSpan);
+  return post.now - pacedAt >= turn && likely * static_cast<double>(post.chance() % 1000) < 1000;
 }
 
 // A node that answers nothing or fails what it gets looks idle and would draw everybody. It is shut while a
@@ -495,17 +484,18 @@
   for (const Sub* other : subs) {
     if (other->playing) continue;
     waiting = true;
-    if (post.now - other->sent > slowJoin) return false;
+    if (post.now - std::max(other->sent, post.wokeAt) > slowJoin) return false;
   }
   return strikes == 0 || !waiting;
 }
 
 bool Node::eligible(const Sub& sub) const {
   const int cells = std::max(1, terms().cells);
-  const int offset = ((cell - sub.viewing.firstCell) % cells + cells) % cells;
-  if (state != NodeState::ready || offset >= sub.viewing.holders) return false;
-  if (!sub.mayHaveRun || sub.room->effect != Effect::byKey || sub.room->group == Group::all) return true;
-  return sub.room->group == Group::zone ? zone == sub.ranZone : cell == sub.ranCell;
+  const int offset = ((listing.cell - sub.viewing.firstCell) % cells + cells) % cells;
+  if (listing.state != NodeState::ready || offset >= sub.viewing.holders) return false;
+  if (!sub.ran || sub.room->effect != Effect::byKey || sub.room->group == Group::all) return true;
+  return sub.room->group == Group::zone ? listing.zone == sub.ran->listing.zone
+                                        : listing.cell == sub.ran->listing.cell;
 }
 
 void Node::gate() {
@@ -548,11 +538,13 @@
   linkGuess = ask.linkGuess;
   uplinkGuess = ask.uplinkGuess;
   gate();
+  const bool may = eligible(sub);
+  if (may) comers.add(post.now, 1);
   Offer offer{this,
               !closed && !(sub.overQuota && use() > idleMark),
-              eligible(sub) && healthy() && paced(),
+              may && healthy() && paced(sub.viewing.holders),
               failures.sum(post.now) == 0,
-              zone == terms().zone,
+              listing.zone == terms().zone,
               false,
               use(),
               sub.room->floor};
@@ -575,7 +567,6 @@
   setKb(sub, charge(sub, rung));
   if (underWay) return;
   admitted.add(post.now, sub.kb);
-  sent.add(post.now, 1);
   pacedAt = post.now;
 }
 
@@ -590,10 +581,8 @@
     strike();
   }
   if (outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot) {
-    sub.mayHaveRun = true;
+    sub.ran = this;
     sub.ranSent = sub.sent;
-    sub.ranZone = zone;
-    sub.ranCell = cell;
   }
   if (const auto& told = report.linkUse ? report.linkUse : report.linkShare) readLink(*told, reportAge);
   if (report.uplinkUse) readUplink(*report.uplinkUse, reportAge);
@@ -701,17 +690,11 @@
 }
 
 void Node::listed(const std::optional<ListEntry>& told) {
-  if (!told) return void(state = NodeState::gone);
-  const ListEntry& entry = *told;
-  state = entry.state;
-  kind = entry.kind;
-  weight = entry.weight;
-  cell = entry.cell;
-  zone = entry.zone;
-  if (entry.readyAt > readyAt) {
-    readyAt = entry.readyAt;
-    if (post.now - readyAt < terms().coldTime) strikes = 0, shutUntil = 0, link = {};
-  }
+  if (!told) return void(listing.state = NodeState::gone);
+  const Micros before = listing.readyAt;
+  listing = *told;
+  listing.readyAt = std::max(before, told->readyAt);
+  if (listing.readyAt > before && cold()) strikes = 0, shutUntil = 0, link = {};
 }
 
 void Node::read(const Note& note) {
@@ -773,7 +756,7 @@
       further.sum(now()) + 1 >
           terms.furtherJoins->few + terms.furtherJoins->share * requests.sum(now()) * 0.9)
     return false;
-  if (!sub.mayHaveRun || sub.room->effect == Effect::repeatable) return true;
+  if (!sub.ran || sub.room->effect == Effect::repeatable) return true;
   return sub.room->effect == Effect::byKey && now() - sub.ranSent < sub.room->window;
 }
 
@@ -846,7 +829,7 @@
   ++seatsTaken(sub);
   post.send(*offer.node, Take{&sub, offer.rung, false});
   act(SetRung{sub.id, offer.rung});
-  act(Join{sub.id, offer.node->id, patience(sub)});
+  act(Join{sub.id, offer.node->listing.node, patience(sub)});
 }
 
 // Leaves time for another join within the join objective, but only where another is allowed.
@@ -861,23 +844,21 @@
   if (--seatsTaken(sub) == 0) seats.erase({sub.viewing.title, sub.roomIndex});
   sub.at = nullptr;
   if (sub.playing && outcome != Outcome::ok) broken[sub.viewing.viewer] = now() + courtesySpan;
-  if (settled || sub.answered) return forget(sub);
+  if (settled || sub.answered) return void(subs.erase(sub.id));
   place(sub);
 }
 
 // The final answer, at once: throttled where the rules let the viewer come again, terminated otherwise.
 void Desk::giveUp(Sub& sub) {
-  const bool mayReturn = !sub.mayHaveRun || sub.room->effect == Effect::repeatable ||
+  const bool mayReturn = !sub.ran || sub.room->effect == Effect::repeatable ||
                          (sub.room->effect == Effect::byKey && sub.room->group == Group::all);
   if (mayReturn)
     act(Throttle{sub.id, post.terms.retryAfter ? std::min<Micros>(post.terms.maxRetryAfter, 500'000) : 0});
   else
     act(Terminate{sub.id});
-  forget(sub);
+  subs.erase(sub.id);
 }
 
-void Desk::forget(Sub& sub) { subs.erase(sub.id); }
-
 }  // namespace
 
 // ---- the door: the one place where ids are looked up ----
@@ -954,12 +935,13 @@
   }
   void on(const Noted& e) {
     Sub* sub = find(e.sub);
-    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node) return;
+    if (sub == nullptr || sub->at == nullptr || sub->at->listing.node != e.node) return;
     post.send(*sub->at, Hear{sub, e.reading, e.value});
   }
   void on(const JoinEnded& e) {
     Sub* sub = find(e.sub);
-    if (sub == nullptr || sub->at == nullptr || sub->at->id != e.node || e.join != sub->joins - 1) return;
+    if (sub == nullptr || sub->at == nullptr || sub->at->listing.node != e.node || e.join != sub->joins - 1)
+      return;
     post.send(*sub->at, Leave{sub, e.outcome, e.report});
     post.send(desk, Outcomes{sub, e.outcome, e.settled});
   }
@@ -967,7 +949,7 @@
     Sub* sub = find(e.sub);
     if (sub == nullptr) return;
     sub->answered = true;
-    if (sub->at == nullptr) return desk.forget(*sub);
+    if (sub->at == nullptr) return void(desk.subs.erase(sub->id));
     if (!sub->playing && post.terms.cancelling) desk.act(CallOff{sub->id, sub->joins - 1});
   }
   void on(const AlarmRang&) {
@@ -986,8 +968,11 @@
 Control::Control(Control&&) noexcept = default;
 Control& Control::operator=(Control&&) noexcept = default;
 
-void Control::handle(Micros now, const Event& event, std::vector<Action>& actions) {
+// A director that stood still finds all that came meanwhile at once: what is told of nodes and joins holds
+// for every request of the same turn, and those nearest their client timeout go first.
+void Control::handle(Micros now, const std::vector<Event>& turn, std::vector<Action>& actions) {
   Post& post = parts_->post;
+  if (now - post.now > 2 * tickSpan) post.wokeAt = now;
   post.now = now;
   post.out = &actions;
   if (post.born == 0) {
@@ -995,8 +980,24 @@
     actions.push_back(SetAlarm{0, tickSpan});
     if (post.terms.listOnRequest) actions.push_back(FollowList{});
   }
-  std::visit([&](const auto& e) { parts_->on(e); }, event);
-  post.run();
+  std::vector<const Requested*> requests;
+  for (const Event& event : turn) {
+    if (const auto* request = std::get_if<Requested>(&event)) {
+      requests.push_back(request);
+      continue;
+    }
+    if (const auto* lapsed = std::get_if<Lapsed>(&event))
+      std::erase_if(requests, [&](const Requested* r) { return r->viewing.sub == lapsed->sub; });
+    std::visit([&](const auto& e) { parts_->on(e); }, event);
+    post.run();
+  }
+  std::stable_sort(requests.begin(), requests.end(), [](const Requested* a, const Requested* b) {
+    return a->viewing.giveUpAt < b->viewing.giveUpAt;
+  });
+  for (const Requested* request : requests) {
+    parts_->on(*request);
+    post.run();
+  }
 }
 
 }  // namespace lupinsill
--- a/src/control.h
+++ b/src/control.h
@@ -1,6 +1,7 @@
 // The interface of the decision module: typed events in, typed actions out, no wire.
-// A director makes one Control per instance with the terms it was handed, feeds it events in the order
-// they arrive and carries out the actions that come back. Times are whole microseconds on one clock.
+// A director makes one Control per instance with the terms it was handed, hands it all events that have come
+// in since its last turn, in the order they arrived, and carries out the actions that come back in theirs.
+// Times are whole microseconds on one clock.
 #pragma once
 
 #include <cstdint>
@@ -190,7 +191,7 @@
   Control(Control&&) noexcept;
   Control& operator=(Control&&) noexcept;
 
-  void handle(Micros now, const Event& event, std::vector<Action>& actions);
+  void handle(Micros now, const std::vector<Event>& turn, std::vector<Action>& actions);
 
  private:
   struct Parts;
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -20,16 +20,23 @@
   std::size_t place = 0;
   for (const Json& message : batch["inbox"]) {
     try {
-      play(now, message, out);
+      play(message);
     } catch (const BadInput& e) {
       throw BadInput("inbox[" + std::to_string(place) + "]: " + e.what());
     }
     ++place;
   }
+  for (auto& [who, instance] : instances_) {
+    if (instance.turn.empty()) continue;
+    std::vector<Action> actions;
+    instance.control.handle(now, instance.turn, actions);
+    instance.turn.clear();
+    for (const Action& action : actions) out.push_back(wireOf(who, action));
+  }
   return Json{{"out", std::move(out)}}.dump();
 }
 
-void Host::play(Micros now, const Json& array, Json& out) {
+void Host::play(const Json& array) {
   const Message message(array);
   if (message.name() == "Page") {
     const std::int64_t number = message.whole(1, "buffer");
@@ -47,7 +54,8 @@
     Terms terms = termsOf(message.value(3), names);
     instances_.erase(who);
     instances_.emplace(
-        who, Instance{std::move(names), Control(std::move(terms), message.value(2).get<std::uint64_t>())});
+        who,
+        Instance{std::move(names), Control(std::move(terms), message.value(2).get<std::uint64_t>()), {}});
     return;
   }
   const auto it = instances_.find(who);
@@ -57,7 +65,6 @@
     return;
   }
   Instance& instance = it->second;
-  std::vector<Event> events;
   if (message.name() == "BackendsChanged") {
     ListTold told{listKindOf(message.text(2, "kind")), {}};
     if (told.kind != ListKind::lost) {
@@ -67,13 +74,10 @@
         throw BadInput("buffer: no such list");
       told.entries = entriesOf(pages_[static_cast<std::size_t>(number)], instance.names);
     }
-    events.push_back(std::move(told));
+    instance.turn.push_back(std::move(told));
   } else {
-    events = eventOf(message, instance.names);
+    for (Event& event : eventOf(message, instance.names)) instance.turn.push_back(std::move(event));
   }
-  std::vector<Action> actions;
-  for (const Event& event : events) instance.control.handle(now, event, actions);
-  for (const Action& action : actions) out.push_back(wireOf(who, action));
 }
 
 }  // namespace lupinsill::drill
--- a/src/drill/host.h
+++ b/src/drill/host.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "codec.h"
 
@@ -18,8 +19,9 @@
   struct Instance {
     Names names;
     Control control;
+    std::vector<Event> turn;  // what this batch holds for it so far
   };
-  void play(Micros now, const Json& message, Json& out);
+  void play(const Json& message);
 
   std::map<std::int64_t, Instance> instances_;
   std::array<Json, 16> pages_;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -100,6 +100,8 @@
     if (verb == ">!") return expect(line, false);
     if (verb == "count") return count(line);
     if (verb == "restart") return void(control_.reset());
+    if (verb == "stand") return void(standing_ = true);
+    if (verb == "go") return standing_ = false, act();
     if (verb == "fresh") return void(since_.clear());
     if (verb == "wait") return wait(static_cast<Micros>(std::stod(line.words.at(1)) * 1000));
     if (verb == "times") return times(line);
@@ -247,8 +249,13 @@
 
   void send(const Event& e) {
     if (!control_) control_.emplace(terms_, 7);
+    turn_.push_back(e);
+    if (!standing_) act();
+  }
+
+  void act() {
     std::vector<Action> out;
-    control_->handle(now_, e, out);
+    control_->handle(now_, std::exchange(turn_, {}), out);
     for (const Action& action : out) record(action);
   }
 
@@ -344,6 +351,8 @@
   std::map<SubId, std::pair<NodeId, bool>> at_;
   std::map<SubId, int> joins_;
   std::vector<std::string> rooms_;
+  std::vector<Event> turn_;  // what waits for the director's turn while it stands still
+  bool standing_ = false;
   std::multimap<Micros, std::int64_t> alarms_;
   std::vector<std::string> since_;
 };
