A stranger's newcomer settles at its set-up note; cold nodes paced by their cell's comers

The pacing by chance counted requests per node, and a replacement is a new node: no director remembered any. Requests are now counted for the cell, and half a turn's set-ups are let through, since by chance they come in a heap. Also guards crowds and mass restarts; it may harm by idling a cold node where one director has the crowd. Cause 2: with many directors most holders are unread, and a newcomer set up on a guess overfills a link that all there then have to trim. At the note of set-up, where nothing was read of late, the newcomer alone gives back what does not fit.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -36,23 +36,22 @@
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
 constexpr Micros comersSpan = 30 * second;
-constexpr double drawnOf = 4;              // holders to one set-up: two are drawn, and half may be closed
-constexpr Micros movedSpan = 8 * second;   // more than notes are ever late
-constexpr Micros fadeSpan = 10 * second;   // in which a reading not renewed loses its say
-constexpr Micros guessSpan = 10 * second;  // of readings that tell of links not read
-constexpr Micros dwell = 8 * second;       // between two steps of one subscription
+constexpr double letThrough = 0.5;        // of a turn's set-ups, by chance: together they may come in a heap
+constexpr double drawnOf = 4;             // holders to one set-up: two are drawn, and half may be closed
+constexpr Micros movedSpan = 8 * second;  // more than notes are ever late
+constexpr Micros readSpan = 10 * second;  // in which a reading not renewed loses its say
+constexpr Micros dwell = 8 * second;      // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
 template <int Buckets>
 class Tally {
  public:
-  static constexpr Micros always = 3600 * second;
   explicit Tally(Micros span) : width_(std::max<Micros>(1, span / Buckets)) {}
   void add(Micros now, double amount) {
     roll(now);
     sums_[slot(bucket_)] += amount;
   }
-  double sum(Micros now, Micros age = always) {
+  double sum(Micros now, Micros age = 3600 * second) {
     roll(now);
     double total = 0;
     for (Micros b = bucket_; b > std::max((now - age) / width_, bucket_ - Buckets - 1); --b)
@@ -77,9 +76,11 @@
 
 struct Node;
 struct Rack;
+struct Sub;
 
 // An answer of a media node to the desk's question what it could do for a subscription.
 struct Offer {
+  Sub* sub = nullptr;
   Node* node = nullptr;
   bool open = false;
   bool fit = false;    // ready, healthy and, where cold, in its pace
@@ -113,12 +114,14 @@
   bool courtesy = false;
   bool overQuota = false;  // its tenant sends more than its share
   bool toldLink = false;   // the note at set-up has come
+  bool blind = false;      // set up where nothing had been read of late
 };
 
 struct Ask {
   Sub* sub;
   double linkGuess;  // what the director's other readings say of a link, and of an uplink
   double uplinkGuess;
+  double comers;  // requests of late that the node's cell could have taken
 };
 struct Take {
   Sub* sub;
@@ -164,10 +167,6 @@
 struct Start {
   Sub* sub;
 };
-struct Offered {
-  Sub* sub;
-  Offer offer;
-};
 struct Outcomes {
   Sub* sub;
   Outcome outcome;
@@ -175,7 +174,7 @@
 };
 
 using Note = std::variant<Ask, Read, Take, Play, Leave, Hear, Listed, UplinkUse, UplinkLoad, UplinkSeen,
-                          Shortfall, Start, Offered, Outcomes>;
+                          Shortfall, Start, Offer, Outcomes>;
 
 struct Post;
 
@@ -226,7 +225,7 @@
   double now(const Post& post, double ours, double capacity, double guess) const {
     const Micros due = 3 * std::max(post.terms.reportsEvery, second) + post.terms.seenAfter;
     const double faded =
-        std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(fadeSpan), 0.0, 1.0);
+        std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(readSpan), 0.0, 1.0);
     const double read = std::max(0.0, use + (ours - oursThen) / capacity);
     return known ? read + faded * (std::min(guess, 0.9 * lowMark) - read) : guess;
   }
@@ -286,7 +285,6 @@
   bool closed = false;
   Micros turningSince = 0;  // past the mark at which the gate turns
   Tally<10> admitted{second};
-  Tally<10> comers{comersSpan};  // requests that this node could have taken
   int strikes = 0;
   Tally<10> failures{20 * second};
   Micros shutUntil = 0;
@@ -333,10 +331,11 @@
   }
   void feel(double before);
   void step(Sub& sub, int rung);
+  void settle(Sub& sub);
   bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
   void tellRack(double change);
   void setKb(Sub& sub, double charged);
-  bool paced(int holders);
+  bool paced(const Ask& ask);
   bool healthy() const;
   bool eligible(const Sub& sub) const;
   void gate();
@@ -361,11 +360,15 @@
   std::map<SubId, std::unique_ptr<Sub>> subs;
   std::map<NodeId, std::unique_ptr<Node>> nodes;
   std::map<int, std::unique_ptr<Rack>> racks;
-  std::map<int, std::vector<Node*>> cells;
+  struct Cell {
+    std::vector<Node*> nodes;
+    Tally<10> comers{comersSpan};
+  };
+  std::map<int, Cell> cells;
   std::map<std::pair<std::string, int>, int> seats;
   std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
   std::map<int, Tally<10>> partyRate;
-  Tally<10> linkSum{guessSpan}, linkCount{guessSpan}, uplinkSum{guessSpan}, uplinkCount{guessSpan};
+  Tally<10> linkSum{readSpan}, linkCount{readSpan}, uplinkSum{readSpan}, uplinkCount{readSpan};
   Tally<20> requests;
   Tally<20> further;
 
@@ -460,7 +463,7 @@
 // each, so that no two meet. Where a round would outlast the cold time nearly all turns would pass unused:
 // there a director's own requests tell how many come in a turn from all, and by chance one of them goes.
 // For a while after its own start any node may have restarted unseen: a first set-up goes, more are paced.
-bool Node::paced(int holders) {
+bool Node::paced(const Ask& ask) {
   const bool unsure = post.now - post.born < terms().coldTime;
   if (!cold() && !unsure) return true;
   const double bears = places() * terms().startCapacity * terms().overloadFactor /
@@ -469,10 +472,9 @@
   if (cold() && turn * terms().directors < terms().coldTime)
     return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
            post.now - pacedAt >= turn;
-  const double own =
-      (comers.sum(post.now) - (cold() ? 0 : 1)) * std::min(1.0, drawnOf / std::max(1, holders));
+  const double own = (ask.comers - (cold() ? 0 : 1)) * std::min(1.0, drawnOf / ask.sub->viewing.holders);
   const double likely = own * terms().directors * static_cast<double>(turn) / static_cast<double>(comersSpan);
-  return post.now - pacedAt >= turn && likely * static_cast<double>(post.chance() % 1000) < 1000;
+  return post.now - pacedAt >= turn && likely * static_cast<double>(post.chance() % 1000) < 1000 * letThrough;
 }
 
 // A node that answers nothing or fails what it gets looks idle and would draw everybody. It is shut while a
@@ -538,11 +540,10 @@
   linkGuess = ask.linkGuess;
   uplinkGuess = ask.uplinkGuess;
   gate();
-  const bool may = eligible(sub);
-  if (may) comers.add(post.now, 1);
-  Offer offer{this,
+  Offer offer{&sub,
+              this,
               !closed && !(sub.overQuota && use() > idleMark),
-              may && healthy() && paced(sub.viewing.holders),
+              eligible(sub) && healthy() && paced(ask),
               failures.sum(post.now) == 0,
               listing.zone == terms().zone,
               false,
@@ -558,7 +559,7 @@
     offer.rung = rung;
   }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
-  post.send(*desk, Offered{&sub, offer});
+  post.send(*desk, offer);
 }
 
 void Node::take(Sub& sub, int rung, bool underWay) {
@@ -566,6 +567,7 @@
   sub.rung = rung;
   setKb(sub, charge(sub, rung));
   if (underWay) return;
+  sub.blind = post.now - link.readAt > 2 * terms().reportsEvery;
   admitted.add(post.now, sub.kb);
   pacedAt = post.now;
 }
@@ -606,10 +608,11 @@
       break;
     case Reading::link:
       readLink(value, age);
-      if (!sub.toldLink)
-        sub.toldLink = true;
-      else
+      if (sub.toldLink)
         react(link.about);
+      else if (sub.blind)
+        settle(sub);
+      sub.toldLink = true;
       break;
     case Reading::uplink:
       readUplink(value, age);
@@ -671,6 +674,15 @@
     if (rung != sub->rung) step(*sub, rung);
 }
 
+// The note at set-up may be the first that this director hears of the node: the newcomer's rung is chosen
+// again by it, once, before others have to make room for it.
+void Node::settle(Sub& sub) {
+  const double room = roomUnder(highMark);
+  int rung = sub.rung;
+  while (rung > sub.room->floor && rate(sub, sub.rung) - rate(sub, rung) < -room) --rung;
+  if (rung != sub.rung) step(sub, rung);
+}
+
 void Node::step(Sub& sub, int rung) {
   sub.rung = rung;
   sub.stepped = post.now;
@@ -726,8 +738,8 @@
     (link ? linkCount : uplinkCount).add(now(), 1);
   }
   if (const auto* o = std::get_if<Outcomes>(&note)) ended(*o->sub, o->outcome, o->settled);
-  if (const auto* o = std::get_if<Offered>(&note)) {
-    o->sub->offers.push_back(o->offer);
+  if (const auto* o = std::get_if<Offer>(&note)) {
+    o->sub->offers.push_back(*o);
     if (o->sub->offers.size() == o->sub->asked) decide(*o->sub);
   }
 }
@@ -762,19 +774,18 @@
 
 void Desk::place(Sub& sub) {
   if (!mayJoin(sub)) return giveUp(sub);
-  std::vector<Node*> holders;
-  for (int j = 0; j < sub.viewing.holders; ++j) {
-    const auto at = cells.find((sub.viewing.firstCell + j) % std::max(1, post.terms.cells));
-    if (at != cells.end()) holders.insert(holders.end(), at->second.begin(), at->second.end());
-  }
-  sub.asked = holders.size();
-  if (holders.empty()) return giveUp(sub);
   // What has been read of late tells of those not read: with many directors most holders are strangers.
   const double links = linkCount.sum(now()), uplinks = uplinkCount.sum(now());
-  const double link = (linkSum.sum(now()) + unreadUse) / (links + 1);
-  const double carried = link * post.terms.allLinksKb / std::max(1.0, post.terms.racks * post.terms.rackKb);
-  const Ask ask{&sub, link, uplinks > 0 ? uplinkSum.sum(now()) / uplinks : carried};
-  for (Node* node : holders) post.send(*node, ask);
+  Ask ask{&sub, (linkSum.sum(now()) + unreadUse) / (links + 1), uplinkSum.sum(now()) / std::max(1.0, uplinks),
+          0};
+  sub.asked = 0;
+  for (int j = 0; j < sub.viewing.holders; ++j) {
+    Cell& cell = cells[(sub.viewing.firstCell + j) % std::max(1, post.terms.cells)];
+    if (sub.joins == 0) cell.comers.add(now(), 1);
+    ask.comers = cell.comers.sum(now());
+    for (Node* node : cell.nodes) post.send(*node, ask), ++sub.asked;
+  }
+  if (sub.asked == 0) giveUp(sub);
 }
 
 void Desk::decide(Sub& sub) {
@@ -793,27 +804,19 @@
   std::vector<Offer> open;
   // Same zone first, but not into holders over the idle mark while another zone has some under it: a zone
   // that lost its directors or gets the crowd would throttle beside idle nodes.
-  for (const double under : {idleMark, 1e9}) {
+  for (const double under : {idleMark, 1e9})
     for (const bool home : {true, false}) {
+      if (!open.empty()) break;
       for (const Offer& o : offers)
         if (o.open && o.use < under && o.home == home) open.push_back(o);
-      if (!open.empty()) break;
     }
-    if (!open.empty()) break;
-  }
   if (open.empty() && sub.courtesy) open = offers;
   if (open.empty()) return giveUp(sub);
-  const auto draw = [&] {
-    const std::size_t pick = post.chance() % open.size();
-    const Offer drawn = open[pick];
-    open.erase(open.begin() + static_cast<std::ptrdiff_t>(pick));
-    return drawn;
-  };
-  Offer best = draw();
-  if (!open.empty()) {
-    Offer other = draw();
-    if (other.use < best.use) std::swap(best, other);
-    if (best.overShare && !other.overShare) best = other;
+  std::swap(open[0], open[post.chance() % open.size()]);
+  Offer best = open[0];
+  if (open.size() > 1) {
+    const Offer other = open[1 + post.chance() % (open.size() - 1)];
+    if (std::pair(other.overShare, other.use) < std::pair(best.overShare, best.use)) best = other;
   }
   if (best.overShare && !sub.courtesy) return giveUp(sub);
   join(sub, best);
@@ -893,11 +896,11 @@
     if (told.kind == ListKind::lost) return void(askAgainAt = post.now + askAgain);
     if (told.kind != ListKind::changes) {
       for (auto& [id, n] : desk.nodes) post.send(*n, Listed{});
-      desk.cells.clear();
+      for (auto& [number, cell] : desk.cells) cell.nodes.clear();
     }
     for (const ListEntry& entry : told.entries) {
       Node& n = node(entry.node);
-      auto& inCell = desk.cells[entry.cell];
+      auto& inCell = desk.cells[entry.cell].nodes;
       std::erase(inCell, &n);
       if (entry.state == NodeState::ready) inCell.push_back(&n);
       if (n.rack == nullptr && post.terms.racks > 0) {
