Steps up wait for the uplink's note where reports tell of uplinks

A round of notes tells the link first and the uplink right after; steps up went by the link alone, since at size the rack was not yet read by anyone here. The settings say whether reports tell of uplinks (uplinksReported); if so the node reacts when its uplink has been told. It could harm where the second note stays out while the first comes: then no steps at all.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -144,7 +144,7 @@
 };
 struct UplinkUse {
   std::optional<double> use;
-  Micros trim;  // over the mark at this moment, else 0
+  Micros react;  // to what was so at this moment; 0: not now
 };
 struct UplinkLoad {
   Node* node;
@@ -163,6 +163,7 @@
 struct UplinkSeen {
   double use;
   Micros age;
+  Node* by;  // its round of notes is complete
 };
 struct Start {
   Sub* sub;
@@ -262,7 +263,7 @@
     return *std::find_if(nodes.begin(), nodes.end(), [&](const Held& h) { return h.node == node; });
   }
   bool feel();
-  void tell(Micros trim);
+  void tell(const Node* by, bool all);
 };
 
 struct Node : Part {
@@ -341,7 +342,7 @@
   void gate();
   void strike();
   void readLink(double value, Micros age);
-  void readUplink(double value, Micros age);
+  void readUplink(double value, Micros age, Node* by);
   void react(Micros about);
   void read(const Note& note) override;
   void answer(const Ask& ask);
@@ -398,20 +399,20 @@
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
     gauge = {seen->use, kb - moved.sum(post.now, seen->age), post.now, post.now - seen->age, true};
     felt = false;
-    if (seen->use > highMark) return tell(gauge.about);
+    return tell(seen->by, seen->use > highMark);
   } else if (const auto* lack = std::get_if<Shortfall>(&note)) {
     Held& from = of(lack->node);
     from.easing = lack->share > from.share;
     from.share = lack->explained ? 1 : lack->share;
     from.toldAt = post.now;
-    if (feel()) return tell(gauge.about);
+    return tell(nullptr, feel());
   }
-  tell(0);
+  tell(nullptr, false);
 }
 
-void Rack::tell(Micros trim) {
+void Rack::tell(const Node* by, bool all) {
   const std::optional<double> told = use();
-  for (Held& held : nodes) post.send(*held.node, UplinkUse{told, trim});
+  for (Held& held : nodes) post.send(*held.node, UplinkUse{told, all || held.node == by ? gauge.about : 0});
 }
 
 // Guards against an uplink that is short where no report tells of uplinks: nodes of one rack deliver short
@@ -460,9 +461,8 @@
 
 // Guards against pushing a cold node over, all directors together, without talk or memory. Time is cut into
 // turns of one set-up at half the multiple allowed. Few directors take them in order, in the first half of
-// each, so that no two meet. Where a round would outlast the cold time nearly all turns would pass unused:
-// there a director's own requests tell how many come in a turn from all, and by chance one of them goes.
-// For a while after its own start any node may have restarted unseen: a first set-up goes, more are paced.
+// each, so that no two meet. Where a round would outlast the cold time, own requests tell how many come in a
+// turn from all, and by chance one of two goes. Early in a director's life any node may have restarted.
 bool Node::paced(const Ask& ask) {
   const bool unsure = post.now - post.born < terms().coldTime;
   if (!cold() && !unsure) return true;
@@ -523,9 +523,9 @@
   post.send(*desk, Read{Reading::link, value});
 }
 
-void Node::readUplink(double value, Micros age) {
+void Node::readUplink(double value, Micros age, Node* by) {
   if (rack == nullptr) return;
-  post.send(*rack, UplinkSeen{value, age});
+  post.send(*rack, UplinkSeen{value, age, by});
   post.send(*desk, Read{Reading::uplink, value});
 }
 
@@ -587,7 +587,7 @@
     sub.ranSent = sub.sent;
   }
   if (const auto& told = report.linkUse ? report.linkUse : report.linkShare) readLink(*told, reportAge);
-  if (report.uplinkUse) readUplink(*report.uplinkUse, reportAge);
+  if (report.uplinkUse) readUplink(*report.uplinkUse, reportAge, nullptr);
   gate();
 }
 
@@ -608,14 +608,15 @@
       break;
     case Reading::link:
       readLink(value, age);
-      if (sub.toldLink)
+      // Steps up by the link alone would overfill an uplink whose note is only a line behind.
+      if (sub.toldLink && !terms().uplinksReported)
         react(link.about);
-      else if (sub.blind)
+      else if (!sub.toldLink && sub.blind)
         settle(sub);
       sub.toldLink = true;
       break;
     case Reading::uplink:
-      readUplink(value, age);
+      readUplink(value, age, this);
       break;
   }
   gate();
@@ -720,7 +721,7 @@
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
         if constexpr (std::is_same_v<N, UplinkUse>) {
           uplink = n.use;
-          if (n.trim != 0) react(n.trim);
+          if (n.react != 0) react(n.react);
         }
         if constexpr (std::is_same_v<N, Play>)
           strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
--- a/src/control.h
+++ b/src/control.h
@@ -73,6 +73,7 @@
   bool retryAfter = false;
   bool cancelling = false;
   bool listOnRequest = false;
+  bool uplinksReported = false;  // a note of the link is followed by one of its uplink
 };
 
 struct ListEntry {
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -284,6 +284,9 @@
   readMicros(limits, "maxRetryAfterNs", terms.maxRetryAfter);
   read(limits, "retryAfter", terms.retryAfter);
   read(limits, "cancelling", terms.cancelling);
+  if (const Json stats = options.value("stats", Json::object());
+      stats.is_object() && stats.contains("fields"))
+    for (const Json& field : stats["fields"]) terms.uplinksReported |= field == "x1";
   std::string discovery = "pushed";
   read(options, "discovery", discovery);
   terms.listOnRequest = wordIn<bool>(discovery, "discovery", {{"pushed", false}, {"on_request", true}});
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -123,6 +123,7 @@
     terms_.fallTime = l.ms("fall", static_cast<double>(terms_.fallTime) / 1000);
     terms_.reportsEvery = l.ms("reports", static_cast<double>(terms_.reportsEvery) / 1000);
     terms_.retryAfter = l.whole("retryAfter", terms_.retryAfter) != 0;
+    terms_.uplinksReported = l.whole("uplinks", terms_.uplinksReported) != 0;
     terms_.listOnRequest = l.whole("onRequest", terms_.listOnRequest) != 0;
     if (l.has("ladder")) terms_.ladderKb = numbers(l.text("ladder"));
     if (l.has("benefit")) terms_.rungBenefit = numbers(l.text("benefit"));
