--- a/src/control.cpp
+++ b/src/control.cpp
@@ -40,6 +40,7 @@
 constexpr double drawnOf = 4;             // holders to one set-up: two are drawn, and half may be closed
 constexpr Micros movedSpan = 8 * second;  // more than notes are ever late
 constexpr Micros readSpan = 10 * second;  // in which a reading not renewed loses its say
+constexpr double jamMark = 1.08;          // over it a shortage costs more than steps: half the dwell
 constexpr Micros dwell = 8 * second;      // between two steps of one subscription
 
 // What happened over the last Span, counted in buckets of time that are used again.
@@ -129,10 +130,11 @@
   bool underWay;
 };
 struct Play {};
-struct Leave {
+struct Ended {  // to its node, then to the desk
   Sub* sub;
   Outcome outcome;
   LoadReport report;
+  bool settled;
 };
 struct Hear {
   Sub* sub;
@@ -168,14 +170,9 @@
 struct Start {
   Sub* sub;
 };
-struct Outcomes {
-  Sub* sub;
-  Outcome outcome;
-  bool settled;
-};
 
-using Note = std::variant<Ask, Read, Take, Play, Leave, Hear, Listed, UplinkUse, UplinkLoad, UplinkSeen,
-                          Shortfall, Start, Offer, Outcomes>;
+using Note = std::variant<Ask, Read, Take, Play, Ended, Hear, Listed, UplinkUse, UplinkLoad, UplinkSeen,
+                          Shortfall, Start, Offer>;
 
 struct Post;
 
@@ -567,7 +564,7 @@
   sub.rung = rung;
   setKb(sub, charge(sub, rung));
   if (underWay) return;
-  sub.blind = post.now - link.readAt > 2 * terms().reportsEvery;
+  sub.blind = post.now - link.readAt > terms().reportsEvery;
   admitted.add(post.now, sub.kb);
   pacedAt = post.now;
 }
@@ -637,7 +634,7 @@
   double planned = 0;
   for (Sub* sub : subs) {
     planned += sub->kb;
-    if (sub->playing && post.now - sub->stepped >= dwell) plan.emplace_back(sub, sub->rung);
+    if (sub->playing && post.now - sub->stepped >= (dwell)) plan.emplace_back(sub, sub->rung);
   }
   while (true) {
     std::pair<Sub*, int>* best = nullptr;
@@ -660,11 +657,11 @@
     auto& [sub, rung] = *best;
     const double change = rate(*sub, rung + (down ? -1 : 1)) - rate(*sub, rung);
     const double left = (goal - planned) / change;  // in steps of this size
-    // All nodes of a rack would overdo a last step down alike: it is taken by chance, so that together they
-    // come out right. One up is a price: most of it must fit.
-    const bool fits = down ? left * 1000 > static_cast<double>(post.chance() % 1000)
-                           : left >= 0.5 && change <= roomUnder(highMark);
-    if (left < 1 && !fits) break;
+    // Often more than the node's part, and all nodes of a rack would overdo it alike: the last step is taken
+    // by chance, so that together they come out right.
+    if (left < 1 &&
+        (left * 1000 <= static_cast<double>(post.chance() % 1000) || (!down && change > roomUnder(highMark))))
+      break;
     planned += change;
     rung += down ? -1 : 1;
   }
@@ -716,7 +713,7 @@
         using N = std::decay_t<decltype(n)>;
         if constexpr (std::is_same_v<N, Ask>) answer(n);
         if constexpr (std::is_same_v<N, Take>) take(*n.sub, n.rung, n.underWay);
-        if constexpr (std::is_same_v<N, Leave>) leave(*n.sub, n.outcome, n.report);
+        if constexpr (std::is_same_v<N, Ended>) leave(*n.sub, n.outcome, n.report);
         if constexpr (std::is_same_v<N, Hear>) hear(*n.sub, n.reading, n.value);
         if constexpr (std::is_same_v<N, Listed>) listed(n.entry);
         if constexpr (std::is_same_v<N, UplinkUse>) {
@@ -738,7 +735,7 @@
     (link ? linkSum : uplinkSum).add(now(), r->use);
     (link ? linkCount : uplinkCount).add(now(), 1);
   }
-  if (const auto* o = std::get_if<Outcomes>(&note)) ended(*o->sub, o->outcome, o->settled);
+  if (const auto* o = std::get_if<Ended>(&note)) ended(*o->sub, o->outcome, o->settled);
   if (const auto* o = std::get_if<Offer>(&note)) {
     o->sub->offers.push_back(*o);
     if (o->sub->offers.size() == o->sub->asked) decide(*o->sub);
@@ -946,8 +943,9 @@
     Sub* sub = find(e.sub);
     if (sub == nullptr || sub->at == nullptr || sub->at->listing.node != e.node || e.join != sub->joins - 1)
       return;
-    post.send(*sub->at, Leave{sub, e.outcome, e.report});
-    post.send(desk, Outcomes{sub, e.outcome, e.settled});
+    const Ended ended{sub, e.outcome, e.report, e.settled};
+    post.send(*sub->at, ended);
+    post.send(desk, ended);
   }
   void on(const Lapsed& e) {
     Sub* sub = find(e.sub);
