--- a/src/control.cpp
+++ b/src/control.cpp
@@ -634,7 +634,8 @@
   double planned = 0;
   for (Sub* sub : subs) {
     planned += sub->kb;
-    if (sub->playing && post.now - sub->stepped >= (u > jamMark ? dwell / 2 : dwell)) plan.emplace_back(sub, sub->rung);
+    if (sub->playing && post.now - sub->stepped >= (u > jamMark ? dwell / 2 : dwell))
+      plan.emplace_back(sub, sub->rung);
   }
   while (true) {
     std::pair<Sub*, int>* best = nullptr;
