A felt uplink is tried again little by little; a full answer holds for four seconds

An uplink nobody reports counted as free 10 s after the last shortage; it fades five times slower than a reading now, as nothing tells that it has room again. A node that answered full was asked again after 1 s, while a place takes several seconds to come free. The longer hold also spares any node that turns work away for another reason; it could harm where a single holder is full for an instant only.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -24,13 +24,14 @@
 constexpr double raiseMark = 0.85;  // where steps up leave it
 constexpr double unreadUse = 0.5;   // of a link while nothing has been read anywhere
 constexpr Micros quotaSpan = 5 * second;
-constexpr double quotaLean = 1.5;      // a director may see this much more of a tenant than its even part
-constexpr Micros askAgain = second;    // after a call for the list that failed
-constexpr Micros closeHold = 400'000;  // the paper holds 2 s; notes here are already seconds old
-constexpr Micros openHold = 200'000;   // the paper holds 10 s, a quarter of a subscription's life here
-constexpr double spareShare = 0.5;     // of the spare room, per second
-constexpr double rateSpread = 0.15;    // titles run this far over their rung's rate
-constexpr double rackPart = 2;         // newcomers that may meet in an uplink's room
+constexpr double quotaLean = 1.5;        // a director may see this much more of a tenant than its even part
+constexpr Micros askAgain = second;      // after a call for the list that failed
+constexpr Micros closeHold = 400'000;    // the paper holds 2 s; notes here are already seconds old
+constexpr Micros openHold = 200'000;     // the paper holds 10 s, a quarter of a subscription's life here
+constexpr Micros fullHold = 4 * second;  // about as long as a place takes to come free
+constexpr double spareShare = 0.5;       // of the spare room, per second
+constexpr double rateSpread = 0.15;      // titles run this far over their rung's rate
+constexpr double rackPart = 2;           // newcomers that may meet in an uplink's room
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
 constexpr Micros slowJoin = 500'000;          // a set-up takes a tenth of a second or two
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
@@ -220,10 +221,10 @@
   bool known = false;
 
   // A reading nobody renews says less and less: in the end the limit is like any other not read.
-  double now(const Post& post, double ours, double capacity, double guess) const {
+  double now(const Post& post, double ours, double capacity, double guess, Micros span = readSpan) const {
     const Micros due = 3 * std::max(post.terms.reportsEvery, second) + post.terms.seenAfter;
     const double faded =
-        std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(readSpan), 0.0, 1.0);
+        std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(span), 0.0, 1.0);
     const double read = std::max(0.0, use + (ours - oursThen) / capacity);
     return known ? read + faded * (std::min(guess, 0.9 * lowMark) - read) : guess;
   }
@@ -247,7 +248,8 @@
 
   double capacity() const { return std::max(1.0, post.terms.rackKb); }
   std::optional<double> use() const {
-    if (gauge.known) return gauge.now(post, kb, capacity(), kb / capacity());
+    // Nothing tells that an uplink only felt has room again: it is tried little by little.
+    if (gauge.known) return gauge.now(post, kb, capacity(), kb / capacity(), (felt ? 5 : 1) * readSpan);
     // An uplink nobody reports carries what its links are asked for.
     double links = 0, sum = 0;
     for (const Held& held : nodes)
@@ -574,7 +576,7 @@
   std::erase(subs, &sub);
   if (outcome == Outcome::connectFailed || outcome == Outcome::reset) lostAt = post.now;
   if (outcome == Outcome::full) {
-    shutUntil = std::max(shutUntil, post.now + second);
+    shutUntil = std::max(shutUntil, post.now + fullHold);
     if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0);
   } else if (outcome != Outcome::ok && outcome != Outcome::cancelled && outcome != Outcome::moot) {
     strike();
@@ -886,9 +888,7 @@
     sub->viewing = viewing;
     sub->roomIndex = viewing.roomType;
     sub->room = &post.terms.roomTypes[static_cast<std::size_t>(viewing.roomType)];
-    Sub& held = *sub;
-    desk.subs[viewing.sub] = std::move(sub);
-    return held;
+    return *(desk.subs[viewing.sub] = std::move(sub));
   }
 
   void on(const ListTold& told) {
