Readings of the last 3 s, not 10, tell of links not read

Also guards fleets that empty quickly; it could harm a director that reads less than once in 3 s, which then counts on one half.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -40,6 +40,7 @@
 constexpr double letThrough = 0.5;        // of a turn's set-ups, by chance: together they may come in a heap
 constexpr double drawnOf = 4;             // holders to one set-up: two are drawn, and half may be closed
 constexpr Micros movedSpan = 8 * second;  // more than notes are ever late
+constexpr Micros meanSpan = 3 * second;   // of the readings that tell of links not read: crowds come fast
 constexpr Micros readSpan = 10 * second;  // in which a reading not renewed loses its say
 constexpr double jamMark = 1.08;          // over it a shortage costs more than steps: half the dwell
 constexpr Micros dwell = 8 * second;      // between two steps of one subscription
@@ -368,7 +369,7 @@
   std::map<std::pair<std::string, int>, int> seats;
   std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
   std::map<int, Tally<10>> partyRate;
-  Tally<10> linkSum{readSpan}, linkCount{readSpan}, uplinkSum{readSpan}, uplinkCount{readSpan};
+  Tally<10> linkSum{meanSpan}, linkCount{meanSpan}, uplinkSum{meanSpan}, uplinkCount{meanSpan};
   Tally<20> requests;
   Tally<20> further;
 
