Steps are likelier where they gain more per kB, across all directors

Cause: with a handful of subscriptions a director has nothing to weigh a dear room type against, so steps up and down fell on all alike by chance. The part of a step is now weighted by its gain per kB over the mean of all room types and rungs, which every director knows from the settings: dear and low rungs go up first, cheap and high ones come down first, without talk. The guess of an unreported uplink from its links is gone. It could harm where one room type makes up nearly all traffic and is the cheapest: then steps come slower.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -153,7 +153,6 @@
 struct UplinkLoad {
   Node* node;
   double kb;
-  std::optional<double> linkUse;  // where it has been read
 };
 struct Read {
   Reading reading;
@@ -189,7 +188,12 @@
 // The one loop: parts whose inboxes hold notes, in the order in which they were written to.
 struct Post {
   explicit Post(Terms handed, std::uint64_t seed)
-      : terms(std::move(handed)), chance(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {}
+      : terms(std::move(handed)), chance(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+    const std::size_t steps = terms.ladderKb.size() - 1;
+    for (const RoomType& room : terms.roomTypes)
+      for (std::size_t rung = 0; rung < steps; ++rung)
+        meanGain += gainPerKb(room, rung) / static_cast<double>(steps * terms.roomTypes.size());
+  }
   void send(Part& to, Note note) {
     to.inbox.push_back(std::move(note));
     due.push_back(&to);
@@ -203,12 +207,17 @@
       part.read(note);
     }
   }
+  double gainPerKb(const RoomType& room, std::size_t rung) const {  // of the step from rung to rung + 1
+    const double kb = (terms.ladderKb[rung + 1] - terms.ladderKb[rung]) * room.rateFactor;
+    return std::max(1e-9, room.benefit * (terms.rungBenefit[rung + 1] - terms.rungBenefit[rung]) / kb);
+  }
   Terms terms;
   std::minstd_rand chance;
   Micros now = 0;
   Micros born = 0;
   Micros wokeAt = 0;      // the end of the last stretch in which this director got no turn
   double kbPerPlace = 0;  // from the first list: all links over all places
+  double meanGain = 0;    // of a step's kB, over room types and rungs
   std::vector<Action>* out = nullptr;
   std::deque<Part*> due;
 };
@@ -236,7 +245,6 @@
   struct Held {
     Node* node = nullptr;
     double kb = 0;
-    std::optional<double> linkUse;
     double share = 1;  // delivered, where the node's link does not explain it
     Micros toldAt = 0;
     bool easing = false;  // the share is smoothed: while it rises the shortage is already over
@@ -251,12 +259,7 @@
   std::optional<double> use() const {
     // Nothing tells that an uplink only felt has room again: it is tried little by little.
     if (gauge.known) return gauge.now(post, kb, capacity(), kb / capacity(), (felt ? 5 : 1) * readSpan);
-    // An uplink nobody reports carries what its links are asked for.
-    double links = 0, sum = 0;
-    for (const Held& held : nodes)
-      if (held.linkUse) ++links, sum += *held.linkUse;
-    if (links == 0) return std::nullopt;
-    return sum / links * post.terms.allLinksKb / (post.terms.racks * capacity());
+    return std::nullopt;
   }
   void read(const Note& note) override;
   Held& of(const Node* node) {
@@ -319,11 +322,6 @@
                         });
     return rate(sub, rung) * (shared ? terms().joinAdds : 1);
   }
-  double gainPerKb(const Sub& sub, int rung) const {  // of the step from rung to rung + 1
-    const auto r = static_cast<std::size_t>(rung);
-    return sub.room->benefit * (terms().rungBenefit[r + 1] - terms().rungBenefit[r]) /
-           std::max(1.0, rate(sub, rung + 1) - rate(sub, rung));
-  }
   double linkUse() const;
   double rackUse() const { return uplink.value_or(uplinkGuess); }
   double use() const { return std::max(linkUse(), rackUse()); }
@@ -334,7 +332,6 @@
   void step(Sub& sub, int rung);
   void settle(Sub& sub);
   bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
-  void tellRack(double change);
   void setKb(Sub& sub, double charged);
   bool paced(const Ask& ask);
   bool healthy() const;
@@ -391,9 +388,7 @@
 
 void Rack::read(const Note& note) {
   if (const auto* load = std::get_if<UplinkLoad>(&note)) {
-    Held& from = of(load->node);
-    from.kb += load->kb;
-    from.linkUse = load->linkUse;
+    of(load->node).kb += load->kb;
     kb += load->kb;
     moved.add(post.now, load->kb);
   } else if (const auto* seen = std::get_if<UplinkSeen>(&note)) {
@@ -447,16 +442,12 @@
   return shortNow() && !link.known ? std::max(read, 1 / std::max(0.05, delivered)) : read;
 }
 
-void Node::tellRack(double change) {
-  if (rack) post.send(*rack, UplinkLoad{this, change, link.known ? std::optional(linkUse()) : std::nullopt});
-}
-
 void Node::setKb(Sub& sub, double charged) {
   const double change = charged - sub.kb;
   kb += change;
   sub.kb = charged;
   moved.add(post.now, change);
-  tellRack(change);
+  if (rack) post.send(*rack, UplinkLoad{this, change});
 }
 
 // Guards against pushing a cold node over, all directors together, without talk or memory. Time is cut into
@@ -519,7 +510,6 @@
 
 void Node::readLink(double value, Micros age) {
   link = {value, kb - moved.sum(post.now, age), post.now, post.now - age, true};
-  tellRack(0);
   post.send(*desk, Read{Reading::link, value});
 }
 
@@ -654,13 +644,17 @@
                    terms().rungBenefit[static_cast<std::size_t>(rung)]) <
               terms().switchSeconds)
         continue;
-      const double gain = down ? -gainPerKb(*sub, rung - 1) : gainPerKb(*sub, rung);
+      const double gain =
+          (down ? -1 : 1) * post.gainPerKb(*sub->room, static_cast<std::size_t>(down ? rung - 1 : rung));
       if (best == nullptr || gain > bestGain) best = &entry, bestGain = gain;
     }
     if (best == nullptr) break;
     auto& [sub, rung] = *best;
     const double change = rate(*sub, rung + (down ? -1 : 1)) - rate(*sub, rung);
-    const double left = (goal - planned) / change;  // in steps of this size
+    // In steps of this size; where another would gain more by its kB, likelier the other's to take or to
+    // keep.
+    const double left =
+        (goal - planned) / change * (down ? post.meanGain / -bestGain : bestGain / post.meanGain);
     // Often more than the node's part, and all nodes of a rack would overdo it alike: the last step is taken
     // by chance, so that together they come out right.
     if (left < 1 &&
