A newcomer's share is weighted by what a rung gains per kB

A rung fits where its rate is within the share times its gain per kB over the mean of all room types and rungs, and never over the room itself; half of the room a second stays the mean.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -544,8 +544,10 @@
   const double share = spareShare * (room + recent) - recent;
   const int top = std::min({sub.viewing.top, sub.room->top, static_cast<int>(terms().ladderKb.size()) - 1});
   offer.rung = sub.room->floor;
+  // A newcomer takes more of the share for a rung that gains much by its kB, less for one that gains little.
   for (int rung = sub.room->floor + 1; rung <= top; ++rung) {
-    if (rate(sub, rung) * (1 + rateSpread) > share) break;
+    const double weight = post.gainPerKb(*sub.room, static_cast<std::size_t>(rung - 1)) / post.meanGain;
+    if (rate(sub, rung) * (1 + rateSpread) > std::min(room, share * weight)) break;
     offer.rung = rung;
   }
   offer.overShare = recent > 0 && rate(sub, offer.rung) > share;
