--- a/src/control.cpp
+++ b/src/control.cpp
@@ -57,7 +57,8 @@
   double sum(Micros now, Micros age = 3600 * second) {
     roll(now);
     double total = 0;
-    for (Micros b = bucket_; b > std::max((now - age) / width_, bucket_ - Buckets - 1); --b)
+    // Not below the clock's zero: a machine's clock may have started less than Span ago.
+    for (Micros b = bucket_; b >= 0 && b > std::max((now - age) / width_, bucket_ - Buckets - 1); --b)
       total += sums_[slot(b)];
     return total;
   }
