--- /dev/null
+++ b/src/audit/record.h
@@ -0,0 +1,89 @@
+// What media nodes and players saw of a day, in the order in which they saw it: the only thing the audit goes
+// by. The lab's own acts on processes and lists stand in it too, since the rules speak of them. Nothing a
+// director says of itself does. Whole microseconds from the start of the day.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "control.h"
+
+namespace lupinsill::audit {
+
+// A node's view of one SETUP that reached it.
+struct SetUpSeen {
+  Micros at = 0;
+  NodeId node = 0;
+  std::string director;      // one run of one director: a restart is another
+  std::string subscription;  // as the director names it
+  std::string viewer;
+  std::string askKey;
+  std::string title;
+  int roomType = 0;
+  int rung = 0;
+  Micros ranAt = -1;      // from when it counts as set up (and paid); -1: never
+  Micros refusedAt = -1;  // answered 453 or 503: provably never ran
+  Micros answeredAt = -1;
+  Micros endedAt = -1;  // torn down, refused, its stream ended, its connection or node gone
+};
+
+// A player's view of one ask that it sent on an open socket.
+struct AskSeen {
+  Micros at = 0;
+  int director = 0;  // place
+  int run = 0;       // which run of that director
+  std::string viewer;
+  std::string askKey;
+  std::string title;
+  int roomType = 0;
+  Micros timeout = 0;
+  struct Answer {
+    Micros at;
+    enum class Kind { playing, throttled, terminated } kind;
+  };
+  std::vector<Answer> answers;
+  Micros closedAt = -1;  // the player closed, or lost, its socket
+  bool lostSocket = false;
+  bool mute = false;  // it does not read what it is told
+};
+
+struct NodeStart {
+  NodeId node = 0;
+  Micros at = 0;
+  int places = 0;
+  bool coldAtAll = false;  // started within the day
+};
+struct NodeWord {  // the list that names it so was published
+  NodeId node = 0;
+  Micros at = 0;
+  NodeState state = NodeState::ready;
+};
+struct DirectorDown {
+  int director = 0;
+  int run = 0;
+  Micros at = 0;
+};
+struct DirectorStood {
+  int director = 0;
+  int run = 0;
+  Micros from = 0, to = 0;
+};
+struct RungSeen {
+  Micros at = 0;
+  int roomType = 0;
+  int rung = 0;
+};
+
+struct Record {
+  std::vector<SetUpSeen> setUps;
+  std::vector<AskSeen> asks;
+  std::vector<NodeStart> starts;
+  std::vector<NodeWord> words;
+  std::vector<DirectorDown> downs;
+  std::vector<DirectorStood> stood;
+  std::vector<RungSeen> rungs;
+  std::vector<std::string> nodesFallen;
+};
+
+}  // namespace lupinsill::audit
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,164 @@
+// The program's command line. Exit codes: 0 done; 1 a check or a day found something; 2 the command or its
+// settings are wrong; 3 the machine refused (a port in use, a director out of reach).
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <iostream>
+
+#include "baseline/baseline.h"
+#include "director/admin.h"
+#include "director/director.h"
+#include "lab/plant.h"
+#include "lab/run.h"
+#include "settings/deployment.h"
+
+namespace {
+
+using namespace lupinsill;
+
+constexpr int found = 1, wrong = 2, refused = 3;
+
+int complain(int code, const std::string& why) {
+  std::fprintf(stderr, "lupinsill: %s\n", why.c_str());
+  return code;
+}
+
+settings::Endpoint endpointOf(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) throw settings::BadSettings(text + ": expected host:port");
+  return {text.substr(0, colon), std::atoi(text.c_str() + colon + 1)};
+}
+
+int askDirector(const std::string& at, const std::string& method, const std::string& path) {
+  const director::AdminAnswer answer = director::askAdmin(endpointOf(at), method, path);
+  if (answer.status == 0) return complain(refused, at + ": no director answers there");
+  std::fputs(answer.body.c_str(), stdout);
+  return answer.status == 200 ? 0 : found;
+}
+
+int runLab(const lab::RunOptions& options) {
+  const lab::RunResult result = lab::runDay(options);
+  std::fputs(lab::shown(result).c_str(), stdout);
+  if (!options.plant.empty()) {
+    const lab::Plant& plant = *lab::findPlant(options.plant);
+    const bool caught = result.rows[static_cast<std::size_t>(plant.rule - 1)].broken > 0;
+    std::printf("plant %s: %s by rule %d\n", plant.name, caught ? "caught" : "NOT caught", plant.rule);
+    // A plant makes a day fail; one that nobody caught is told apart by its own code.
+    return caught ? found : refused;
+  }
+  if (result.broken() > 0) return complain(found, "rules broken: " + std::to_string(result.broken()));
+  if (result.untested() > 0)
+    return complain(found, "rules not put to the test: " + std::to_string(result.untested()));
+  if (!result.cleanEnd) return complain(found, "a director did not end cleanly");
+  std::puts("no rule broken, each put to the test");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"lupinsill: admits viewers to media nodes and sets the rate they play at"};
+  app.require_subcommand(1);
+  app.footer(
+      "Example: lupinsill director --config examples/small.xml\n"
+      "Exit codes: 0 done, 1 something was found, 2 wrong command or settings, 3 refused by the machine");
+
+  director::Start start;
+  std::string plant, policy;
+  CLI::App* run = app.add_subcommand("director", "Run a director until SIGTERM or the end of a drain");
+  run->add_option("--config", start.settingsFile, "Settings (deploy/lupinsill.xsd)")->required();
+  run->add_option("--ports", start.portsFile, "Write the ports taken to this file");
+  run->add_option("--seed", start.seed, "Seed of the decisions' chance; 0 draws one")->group("Measuring");
+  run->add_option("--policy", policy, "A baseline in place of the module: first-open, random-lowest")
+      ->group("Measuring");
+  run->add_option("--plant", plant, "A fault on purpose, for the lab only")->group("Measuring");
+  run->footer("Example: lupinsill director --config examples/small.xml --ports /tmp/ports");
+
+  CLI::App* config = app.add_subcommand("config", "Check or show settings");
+  config->require_subcommand(1);
+  config->footer("Example: lupinsill config check examples/small.xml");
+  std::string file;
+  CLI::App* check = config->add_subcommand("check", "Say what is wrong with a settings file, by line");
+  check->add_option("file", file, "Settings")->required();
+  check->footer("Example: lupinsill config check examples/small.xml");
+  CLI::App* show = config->add_subcommand("show", "Print settings with all defaults written out");
+  show->add_option("file", file, "Settings")->required();
+  show->footer("Example: lupinsill config show examples/small.xml");
+
+  std::string admin = "127.0.0.1:7401";
+  const auto talks = [&](const char* name, const char* what) {
+    CLI::App* command = app.add_subcommand(name, what);
+    command->add_option("--admin", admin, "The director's admin listener")->capture_default_str();
+    command->footer(std::string("Example: lupinsill ") + name + " --admin 127.0.0.1:7401");
+    return command;
+  };
+  CLI::App* status = talks("status", "What a running director does, as JSON");
+  CLI::App* nodes = talks("nodes", "The media nodes as a running director sees them");
+  CLI::App* metrics = talks("metrics", "A running director's Prometheus text");
+  CLI::App* drain = talks("drain", "Take no new asks; end once nothing plays");
+  bool off = false;
+  drain->add_flag("--off", off, "Call the drain off");
+
+  CLI::App* labs = app.add_subcommand("lab", "Stand-in nodes, scripted players and faults on loopback");
+  labs->require_subcommand(1);
+  labs->footer("Example: lupinsill lab run examples/days/bad-evening.xml --seed 1");
+  lab::RunOptions options;
+  CLI::App* day =
+      labs->add_subcommand("run", "Play a day against real directors and hold the rules against it");
+  day->add_option("day", options.dayFile, "Day (deploy/day.xsd)")->required();
+  day->add_option("--seed", options.seed, "Seed of the day")->capture_default_str();
+  day->add_option("--plant", options.plant,
+                  "Plant a fault (see `lab plants`); ends 1 where its rule catches it");
+  day->add_option("--policy", options.policy, "A baseline in place of the module: first-open, random-lowest");
+  day->add_option("--keep", options.keepIn, "Keep settings, lists and logs in this folder");
+  day->footer("Example: lupinsill lab run examples/days/bad-evening.xml --plant second-join");
+  CLI::App* plants = labs->add_subcommand("plants", "List the faults that can be planted");
+  plants->footer("Example: lupinsill lab plants");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    const int code = app.exit(e, std::cout, std::cerr);
+    return code == 0 ? 0 : wrong;
+  }
+  try {
+    if (run->parsed()) {
+      if (!plant.empty()) start.hooks = lab::hooksOf(plant);
+      if (!policy.empty()) {
+        const auto known = baseline::names();
+        if (std::find(known.begin(), known.end(), policy) == known.end())
+          return complain(wrong, "--policy " + policy + ": expected first-open or random-lowest");
+        start.hooks.decider = [policy](const Terms& terms, std::uint64_t seed) {
+          return baseline::make(policy, terms, seed);
+        };
+      }
+      return director::run(start);
+    }
+    if (check->parsed()) {
+      settings::readDeployment(file);
+      std::printf("%s: good\n", file.c_str());
+      return 0;
+    }
+    if (show->parsed()) {
+      std::fputs(settings::shown(file).c_str(), stdout);
+      return 0;
+    }
+    if (status->parsed()) return askDirector(admin, "GET", "/status");
+    if (nodes->parsed()) return askDirector(admin, "GET", "/nodes");
+    if (metrics->parsed()) return askDirector(admin, "GET", "/metrics");
+    if (drain->parsed()) return askDirector(admin, "POST", off ? "/undrain" : "/drain");
+    if (plants->parsed()) {
+      for (const lab::Plant& p : lab::plants()) std::printf("%s\n", p.name);
+      return 0;
+    }
+    if (day->parsed()) {
+      if (!options.plant.empty() && lab::findPlant(options.plant) == nullptr)
+        return complain(wrong, "--plant " + options.plant + ": see `lupinsill lab plants`");
+      return runLab(options);
+    }
+  } catch (const settings::BadSettings& bad) {
+    return complain(wrong, bad.what());
+  } catch (const std::exception& bad) {
+    return complain(refused, bad.what());
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/director/director.h
@@ -0,0 +1,35 @@
+// A running director: sockets and the real clock on one side, the session core on the other, one event loop
+// between. It carries events in and orders out and decides nothing.
+// Errors at start: settings::BadSettings, net::CannotListen or std::runtime_error, each one line of text; a
+// director that has started ends only when told to.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "session/decider.h"
+#include "session/front.h"
+#include "settings/deployment.h"
+
+namespace lupinsill::director {
+
+// Where a measurement or the lab's planted faults reach in; empty in service.
+struct Hooks {
+  std::function<std::unique_ptr<session::Decider>(const Terms& terms, std::uint64_t seed)> decider;
+  std::function<void(Micros now, std::vector<session::Order>& orders)> tamper;
+  bool guarded = true;
+};
+
+struct Start {
+  std::string settingsFile;
+  std::string portsFile;   // where to write the ports taken; empty: nowhere
+  std::uint64_t seed = 0;  // 0: drawn
+  Hooks hooks;
+};
+
+// Runs until stopped by SIGTERM or SIGINT, or until a drain has ended. Returns the exit code.
+int run(const Start& start);
+
+}  // namespace lupinsill::director
--- /dev/null
+++ b/src/fleet/membership.cpp
@@ -0,0 +1,118 @@
+#include "fleet/membership.h"
+
+#include <algorithm>
+
+namespace lupinsill::fleet {
+
+const char* nameOf(Taken taken) {
+  switch (taken) {
+    case Taken::applied:
+      return "applied";
+    case Taken::same:
+      return "same";
+    case Taken::older:
+      return "older";
+    case Taken::tooMuchGone:
+      return "too-much-gone";
+  }
+  return "?";
+}
+
+ListEntry Membership::entryOf(const Box& box) const {
+  return {box.node, box.state, box.kind, box.weight, box.cell, box.readyAt, box.zone};
+}
+
+ListTold Membership::startFrom(const Word& word) {
+  ListTold told{ListKind::warmCopy, {}};
+  boxes_.clear();
+  for (const Box& box : word.boxes) {
+    boxes_[box.node] = box;
+    told.entries.push_back(entryOf(box));
+  }
+  titles_ = word.titles;
+  otherTitlesEverywhere_ = word.otherTitlesEverywhere;
+  version_ = word.version;
+  fromBefore_ = true;
+  return told;
+}
+
+Taken Membership::apply(const Word& word, ListTold& told) {
+  // The same number again after a restart may carry what the old copy missed; older words never do.
+  if (word.version < version_) return Taken::older;
+  if (word.version == version_ && !fromBefore_) return Taken::same;
+
+  std::map<NodeId, Box> next;
+  for (const Box& box : word.boxes) {
+    Box& taken = next[box.node] = box;
+    const auto own = ownDrains_.find(box.node);
+    if (own == ownDrains_.end()) continue;
+    if (box.readyAt > own->second || box.state == NodeState::gone)
+      ownDrains_.erase(own);
+    else if (box.state == NodeState::ready)
+      taken.state = NodeState::draining;
+  }
+  std::size_t ready = 0;
+  std::set<NodeId> missing;
+  for (const auto& [id, box] : boxes_) {
+    if (box.state != NodeState::ready) continue;
+    ++ready;
+    if (!next.contains(id)) missing.insert(id);
+  }
+  const bool doubtful =
+      !missing.empty() && static_cast<double>(missing.size()) > (1 - leastKept_) * static_cast<double>(ready);
+  doubted_ = doubtful ? missing : std::set<NodeId>{};
+  for (const NodeId id : doubted_) next[id] = boxes_[id];
+
+  told = {fromBefore_ ? ListKind::total : ListKind::changes, {}};
+  for (const auto& [id, box] : next) {
+    const auto before = boxes_.find(id);
+    if (fromBefore_ || before == boxes_.end() || before->second != box) told.entries.push_back(entryOf(box));
+  }
+  if (!fromBefore_)
+    for (const auto& [id, box] : boxes_)
+      if (!next.contains(id) && box.state != NodeState::gone) {
+        told.entries.push_back(entryOf(box));
+        told.entries.back().state = NodeState::gone;
+      }
+  boxes_ = std::move(next);
+  titles_ = word.titles;
+  otherTitlesEverywhere_ = word.otherTitlesEverywhere;
+  version_ = word.version;
+  fromBefore_ = false;
+  if (doubtful) ++heldBack_;
+  return doubtful ? Taken::tooMuchGone : Taken::applied;
+}
+
+ListTold Membership::confirm() {
+  ListTold told{ListKind::changes, {}};
+  for (const NodeId id : doubted_) {
+    told.entries.push_back(entryOf(boxes_[id]));
+    told.entries.back().state = NodeState::gone;
+    boxes_.erase(id);
+  }
+  doubted_.clear();
+  return told;
+}
+
+ListTold Membership::drains(NodeId node) {
+  ListTold told{ListKind::changes, {}};
+  const auto it = boxes_.find(node);
+  if (it == boxes_.end() || it->second.state != NodeState::ready) return told;
+  ownDrains_[node] = it->second.readyAt;
+  it->second.state = NodeState::draining;
+  told.entries.push_back(entryOf(it->second));
+  return told;
+}
+
+const Box* Membership::find(NodeId node) const {
+  const auto it = boxes_.find(node);
+  return it == boxes_.end() ? nullptr : &it->second;
+}
+
+TitleAt Membership::where(const std::string& title) const {
+  const auto it = titles_.find(title);
+  if (it != titles_.end()) return it->second;
+  return otherTitlesEverywhere_ ? TitleAt{0, std::max(1, cells_)} : TitleAt{};
+}
+
+}  // namespace lupinsill::fleet
--- /dev/null
+++ b/src/fleet/membership.h
@@ -0,0 +1,84 @@
+// What the words about the fleet mean now: which media nodes there are, where they answer, what they hold,
+// and which change of that the decider has to be told. Decides on words as they come in, whoever brings them:
+// a watched file today. No I/O, no clock; times are whole microseconds on the caller's clock. Source:
+// operators' brief (the list knows only of processes that run, drain or are gone).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control.h"
+
+namespace lupinsill::fleet {
+
+struct Box {
+  NodeId node = 0;
+  std::string host;
+  int port = 0;
+  NodeState state = NodeState::ready;
+  int kind = 0;
+  int cell = 0;
+  double weight = 1;
+  std::string zone;
+  Micros readyAt = 0;  // 0: long ago
+  bool operator==(const Box&) const = default;
+};
+
+struct TitleAt {
+  int firstCell = 0;
+  int holders = 0;
+};
+
+// One whole list, as its source worded it. Versions only grow at one source.
+struct Word {
+  std::uint64_t version = 0;
+  std::vector<Box> boxes;
+  std::map<std::string, TitleAt> titles;
+  bool otherTitlesEverywhere = true;
+};
+
+enum class Taken { applied, same, older, tooMuchGone };
+const char* nameOf(Taken taken);
+
+class Membership {
+ public:
+  // `cells`: of the deployment. `leastKept`: where a word passes over more than the rest of the ready nodes
+  // in silence, they stay until it is confirmed, since a list that lost its entries looks just like that.
+  // What a word says aloud (draining, gone) always holds at once.
+  Membership(int cells, double leastKept) : cells_(cells), leastKept_(leastKept) {}
+
+  // The list of before a restart: taken without question, told as possibly old.
+  ListTold startFrom(const Word& word);
+  // `told` is what to tell the decider; it may be empty. On tooMuchGone call confirm() later, well within the
+  // grace, unless another word has come.
+  Taken apply(const Word& word, ListTold& told);
+  ListTold confirm();
+  // The node itself says that it drains. That holds whatever the list says, until the list shows a new start.
+  ListTold drains(NodeId node);
+
+  // The returned pointer holds until the next word.
+  const Box* find(NodeId node) const;
+  TitleAt where(const std::string& title) const;
+  std::uint64_t version() const { return version_; }
+  const std::map<NodeId, Box>& boxes() const { return boxes_; }
+  std::uint64_t heldBack() const { return heldBack_; }
+
+ private:
+  ListEntry entryOf(const Box& box) const;
+
+  int cells_;
+  double leastKept_;
+  std::uint64_t version_ = 0;
+  bool fromBefore_ = true;              // nothing but the list of before a restart is known
+  std::set<NodeId> doubted_;            // passed over by the last word, and kept for now
+  std::map<NodeId, Micros> ownDrains_;  // said by the node itself, of the start at that time
+  std::uint64_t heldBack_ = 0;
+  std::map<NodeId, Box> boxes_;
+  std::map<std::string, TitleAt> titles_;
+  bool otherTitlesEverywhere_ = true;
+};
+
+}  // namespace lupinsill::fleet
--- /dev/null
+++ b/src/lab/day.h
@@ -0,0 +1,104 @@
+// A day of the laboratory as read from its file, and the script drawn from it: who asks when for what, and
+// which nodes, racks and directors each trouble hits. The same day and seed draw the same script.
+// Times are whole microseconds from the start of the day. Errors: settings::BadSettings.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "settings/deployment.h"
+#include "settings/xml.h"
+
+namespace lupinsill::lab {
+
+enum class Kind {
+  answersLost,
+  hang,
+  fastErrors,
+  slow,
+  linkCut,
+  uplinkCut,
+  drain,
+  kill,
+  wave,
+  listStale,
+  crowd,
+  burst,
+  directorKill,
+  directorRoll,
+  directorStop,
+  closers,
+  repeats,
+  mute,
+  garbage
+};
+
+struct Trouble {
+  Kind kind = Kind::hang;
+  Micros at = 0;
+  Micros span = 0;
+  double share = 0;
+  double much = 0;
+};
+
+struct RoomShare {
+  int roomType = 0;
+  double share = 0;
+  Micros least = 0, most = 0;
+};
+
+struct Day {
+  std::string file;
+  std::string settingsFile;
+  settings::Deployment deployment;  // of the settings it names
+  Micros length = 0;
+  Micros answerSlack = 0;
+  int directors = 0, nodes = 0, zones = 0;
+  double linkKb = 0, spread = 0;
+  Micros setUpLeast = 0, setUpMost = 0, listLate = 0;
+  int asks = 0, titles = 0, holders = 0;
+  double comeAgain = 0;
+  Micros pauseLeast = 0, pauseMost = 0;
+  std::vector<RoomShare> rooms;
+  std::vector<Trouble> troubles;
+};
+
+Day readDay(const std::string& file);
+const char* nameOf(Kind kind);
+
+// The lab's chance, apart from the decisions': one stream for each purpose, so that a change of one does not
+// shift the others.
+class Chance {
+ public:
+  Chance(std::uint64_t seed, std::uint64_t purpose) : bits_(seed * 0x9e3779b97f4a7c15ULL + purpose) {}
+  double unit() { return static_cast<double>(bits_() >> 11) * 0x1.0p-53; }
+  double between(double least, double most) { return least + (most - least) * unit(); }
+  Micros span(Micros least, Micros most) {
+    return least + static_cast<Micros>(unit() * static_cast<double>(most - least));
+  }
+  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)) % n; }
+  bool comes(double share) { return unit() < share; }
+  // `n` of `of` places, without repeats, in rising order.
+  std::vector<std::size_t> some(std::size_t of, std::size_t n);
+
+ private:
+  std::mt19937_64 bits_;
+};
+
+enum class Manner { plain, closer, repeater, mute, garbage };
+
+struct Arrival {
+  Micros at = 0;
+  int viewer = 0;
+  int roomType = 0;
+  int title = 0;
+  int top = 0;
+  int zone = 0;
+  Micros length = 0;
+  Manner manner = Manner::plain;
+};
+std::vector<Arrival> drawArrivals(const Day& day, std::uint64_t seed);
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/lab/plant.cpp
@@ -0,0 +1,167 @@
+#include "lab/plant.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <utility>
+
+namespace lupinsill::lab {
+namespace {
+
+using session::Order;
+
+// The module between bent events and bent actions.
+class Bent final : public session::Decider {
+ public:
+  Bent(std::string name, const Terms& terms, std::uint64_t seed) : name_(std::move(name)), terms_(terms) {
+    Terms bent = terms;
+    if (name_ == "seat-over")
+      for (RoomType& room : bent.roomTypes) room.seats = 0;
+    if (name_ == "budget-over") bent.furtherJoins.reset();
+    inner_ = std::make_unique<session::ByControl>(std::move(bent), seed);
+  }
+
+  void handle(Micros now, const std::vector<Event>& turn, std::vector<Action>& actions) override {
+    std::vector<Event> events = turn;
+    for (Event& event : events) {
+      if (auto* told = std::get_if<ListTold>(&event)) list(*told);
+      if (const auto* asked = std::get_if<Requested>(&event))
+        rooms_[asked->viewing.sub] = asked->viewing.roomType;
+      // A paid join that may have run is told as refused.
+      if (auto* ended = std::get_if<JoinEnded>(&event); ended != nullptr && name_ == "join-again")
+        if (ended->outcome == Outcome::error || ended->outcome == Outcome::timeout ||
+            ended->outcome == Outcome::reset)
+          ended->outcome = Outcome::full;
+    }
+    const std::size_t from = actions.size();
+    inner_->handle(now, events, actions);
+    for (std::size_t i = from; i < actions.size(); ++i) bend(now, actions[i]);
+  }
+
+ private:
+  void list(ListTold& told) {
+    for (ListEntry& entry : told.entries) {
+      if (name_ == "drain-ignored" && entry.state == NodeState::draining) {
+        drained_[entry.node] = true;
+        entry.state = NodeState::ready;
+      } else if (entry.state == NodeState::gone) {
+        drained_.erase(entry.node);
+      }
+      nodes_[entry.node] = entry;
+    }
+  }
+  void bend(Micros now, Action& action) {
+    if (auto* join = std::get_if<Join>(&action)) {
+      if (name_ == "cold-burst")
+        for (const auto& [id, entry] : nodes_)
+          if (entry.state == NodeState::ready && entry.readyAt > 0 && now - entry.readyAt < terms_.coldTime)
+            join->node = id;
+      if (name_ == "drain-ignored")
+        for (const auto& [id, entry] : nodes_)
+          if (drained_.contains(id)) join->node = id;
+      const RoomType& room = terms_.roomTypes[static_cast<std::size_t>(rooms_[join->sub])];
+      if (name_ == "budget-over" && room.effect == Effect::repeatable) join->patience = 3'000;
+      if (name_ == "join-again" && room.effect == Effect::once) join->patience = 5'000;
+      if (name_ == "throttle-after-run" && room.effect == Effect::once) join->patience = 5'000;
+    }
+    if (auto* rung = std::get_if<SetRung>(&action); rung != nullptr && name_ == "floor-under") rung->rung = 0;
+    if (const auto* end = std::get_if<Terminate>(&action); end != nullptr && name_ == "throttle-after-run")
+      action = Throttle{end->sub, 0};
+  }
+
+  std::string name_;
+  Terms terms_;
+  std::unique_ptr<session::ByControl> inner_;
+  std::map<NodeId, ListEntry> nodes_;
+  std::map<NodeId, bool> drained_;
+  std::map<SubId, int> rooms_;
+};
+
+bool isAnswer(const Order& order) {
+  return std::holds_alternative<session::Playing>(order) ||
+         std::holds_alternative<session::Throttled>(order) ||
+         std::holds_alternative<session::Terminated>(order);
+}
+
+// Orders between the session core and the sockets, tampered with every tenth time.
+struct Tamperer {
+  explicit Tamperer(std::string which) : name(std::move(which)) {}
+  std::string name;
+  int count = 0;
+  session::JoinKey next = 1'000'000'000;
+  std::vector<NodeId> seen;
+  std::deque<std::pair<Micros, Order>> held;
+
+  void operator()(Micros now, std::vector<Order>& orders) {
+    std::vector<Order> out;
+    while (!held.empty() && held.front().first <= now) {
+      out.push_back(std::move(held.front().second));
+      held.pop_front();
+    }
+    for (Order& order : orders) {
+      if (const auto* setUp = std::get_if<session::SetUp>(&order)) {
+        if (std::find(seen.begin(), seen.end(), setUp->node) == seen.end()) seen.push_back(setUp->node);
+        if (name == "second-join" && ++count % 10 == 0 && seen.size() > 1) {
+          session::SetUp second = *setUp;
+          second.join = ++next;
+          second.node = seen[0] == setUp->node ? seen[1] : seen[0];
+          out.emplace_back(second);
+        }
+      }
+      if (isAnswer(order) && name.starts_with("answer-") && ++count % 10 == 0) {
+        if (name == "answer-lost") continue;
+        if (name == "answer-late") {
+          held.emplace_back(now + 5'500'000, std::move(order));
+          continue;
+        }
+        out.push_back(order);
+      }
+      out.push_back(std::move(order));
+    }
+    orders = std::move(out);
+  }
+};
+
+}  // namespace
+
+const std::vector<Plant>& plants() {
+  static const std::vector<Plant> all{
+      {"answer-lost", 1, "every tenth answer never leaves"},
+      {"answer-late", 1, "every tenth answer leaves 5.5 s late"},
+      {"answer-twice", 1, "every tenth answer leaves twice"},
+      {"second-join", 2, "every tenth join goes to two nodes at once"},
+      {"join-again", 2, "a paid join that may have run is sent again"},
+      {"throttle-after-run", 2, "a paid ask is throttled though its join may have run"},
+      {"drain-ignored", 3, "the word that a node drains is not heeded"},
+      {"cold-burst", 4, "while a node is cold, every join goes there"},
+      {"seat-over", 5, "seats are not counted"},
+      {"floor-under", 5, "every rung is the lowest"},
+      {"budget-over", 6, "safe joins are given up after 3 ms and sent again, without a budget"},
+  };
+  return all;
+}
+
+const Plant* findPlant(const std::string& name) {
+  for (const Plant& plant : plants())
+    if (plant.name == name) return &plant;
+  return nullptr;
+}
+
+director::Hooks hooksOf(const std::string& name) {
+  if (findPlant(name) == nullptr)
+    throw std::runtime_error("plant '" + name + "': see `lupinsill lab plants`");
+  director::Hooks hooks;
+  if (name == "second-join" || name.starts_with("answer-")) {
+    hooks.tamper = Tamperer(name);
+    return hooks;
+  }
+  hooks.guarded = false;
+  hooks.decider = [name](const Terms& terms, std::uint64_t seed) {
+    return std::make_unique<Bent>(name, terms, seed);
+  };
+  return hooks;
+}
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/lab/plant.h
@@ -0,0 +1,23 @@
+// Faults planted on purpose, each of which the audit must catch by the rule it breaks: an audit that has
+// caught nothing proves nothing. They sit behind the guards or take the guards away, in a director that the
+// lab starts; nothing of them is in the product's path.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "director/director.h"
+
+namespace lupinsill::lab {
+
+struct Plant {
+  const char* name;
+  int rule;  // that must catch it
+  const char* what;
+};
+const std::vector<Plant>& plants();
+const Plant* findPlant(const std::string& name);
+// Throws std::runtime_error for a name not known.
+director::Hooks hooksOf(const std::string& plant);
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/lab/stand_in.cpp
@@ -0,0 +1,332 @@
+#include "lab/stand_in.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "media/nodes.h"
+
+namespace lupinsill::lab {
+
+struct StandIn::Connection {
+  StandIn* owner = nullptr;
+  net::Bev bev;
+  media::Reader reader;
+  std::string director;
+  bool dead = false;
+  bool toldDraining = false;
+  std::vector<media::Message> held;  // while it hangs
+};
+
+namespace {
+
+int titleOf(const std::string& title) { return std::atoi(title.c_str() + 1); }  // "t17"
+
+std::string directorOf(std::string_view agent) {
+  const std::size_t open = agent.find('('), close = agent.find(')');
+  return open == std::string_view::npos || close == std::string_view::npos
+             ? std::string()
+             : std::string(agent.substr(open + 1, close - open - 1));
+}
+
+}  // namespace
+
+StandIn::StandIn(Stage& stage, NodeId number, int inCell, std::string inZone, bool isCold, std::uint64_t seed)
+    : node(number),
+      cell(inCell),
+      zone(std::move(inZone)),
+      startedWall(net::wallNow()),
+      coldStart(isCold),
+      stage_(stage),
+      chance_(seed, 1000 + number) {
+  listener_ = net::listenOn(stage.base, "127.0.0.1", 0, onAccept, this);
+  port_ = net::portOf(listener_.get());
+  startedAt_ = stage.now();
+  stage.world->addNode(node, cell, startedAt_, coldStart);
+  stage.record->starts.push_back({node, startedAt_, stage.day->deployment.terms.placesByKind[0], coldStart});
+}
+StandIn::~StandIn() = default;
+
+void StandIn::onAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* me) {
+  auto& self = *static_cast<StandIn*>(me);
+  net::noDelay(fd);
+  auto connection = std::make_unique<Connection>();
+  connection->owner = &self;
+  connection->bev.reset(
+      bufferevent_socket_new(self.stage_.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  bufferevent_setcb(connection->bev.get(), onRead, nullptr, onEvent, connection.get());
+  bufferevent_enable(connection->bev.get(), EV_READ | EV_WRITE);
+  self.connections_.push_back(std::move(connection));
+}
+
+void StandIn::onRead(bufferevent* bev, void* me) {
+  auto& connection = *static_cast<Connection*>(me);
+  if (connection.dead) return;
+  evbuffer* input = bufferevent_get_input(bev);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  connection.reader.feed(bytes);
+  while (!connection.dead) {
+    const auto message = connection.reader.next();
+    if (!message) return;
+    connection.owner->receive(connection, *message);
+  }
+}
+
+void StandIn::onEvent(bufferevent* bev, short what, void* me) {
+  auto& connection = *static_cast<Connection*>(me);
+  if (connection.dead || !(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) return;
+  onRead(bev, me);
+  if (!connection.dead) connection.owner->drop(connection);
+}
+
+void StandIn::drop(Connection& connection) {
+  connection.dead = true;
+  bufferevent_disable(connection.bev.get(), EV_READ | EV_WRITE);
+  for (auto& session : sessions_)
+    if (session->connection == &connection) end(*session);
+}
+
+void StandIn::kill() {
+  dead_ = true;
+  listener_.reset();
+  for (auto& session : sessions_) end(*session);
+  for (auto& connection : connections_) {
+    connection->dead = true;
+    connection->bev.reset();
+  }
+  stage_.world->removeNode(node);
+}
+
+void StandIn::drain() {
+  faults.draining = true;
+  media::Message redirect;
+  redirect.method = "REDIRECT";
+  redirect.uri = "*";
+  redirect.headers = {{"CSeq", "1"}, {"Terminate-Reason", "Server-Admin"}};
+  const std::string bytes = redirect.bytes();
+  for (auto& connection : connections_) {
+    if (connection->dead || connection->toldDraining) continue;
+    connection->toldDraining = true;
+    evbuffer_add(bufferevent_get_output(connection->bev.get()), bytes.data(), bytes.size());
+  }
+}
+
+// What is seen is recorded as it is read, also while the node hangs: its process stands still, not the wire.
+void StandIn::receive(Connection& connection, const media::Message& message) {
+  if (!message.isRequest()) return;
+  if (message.method == "SETUP") {
+    setUp(connection, message);
+    if (dead_) return;
+  } else if (message.method == "TEARDOWN") {
+    if (Session* session = find(connection, message)) end(*session);
+  }
+  if (faults.hang)
+    connection.held.push_back(message);
+  else
+    process(connection, message);
+}
+
+void StandIn::setUp(Connection& connection, const media::Message& message) {
+  auto session = std::make_unique<Session>();
+  media::Named named;
+  media::readUri(message.uri, named);
+  const auto& rooms = stage_.day->deployment.roomTypes;
+  const auto room = std::find(rooms.begin(), rooms.end(), named.roomType);
+  session->connection = &connection;
+  session->pipelined = message.header("Pipelined-Requests");
+  session->viewer = message.header("Lupinsill-Viewer");
+  session->title = titleOf(named.title);
+  session->roomType = room == rooms.end() ? 0 : static_cast<int>(room - rooms.begin());
+  session->rung = named.rung;
+  session->setUpCseq = message.cseq();
+  if (connection.director.empty()) connection.director = directorOf(message.header("User-Agent"));
+  const Micros now = stage_.now();
+  audit::SetUpSeen seen;
+  seen.at = now;
+  seen.node = node;
+  seen.director = connection.director;
+  seen.subscription = message.header("Lupinsill-Subscription");
+  seen.viewer = session->viewer;
+  seen.askKey = message.header("Lupinsill-Ask");
+  seen.title = named.title;
+  seen.roomType = session->roomType;
+  seen.rung = session->rung;
+  session->seen = stage_.record->setUps.size();
+  stage_.record->setUps.push_back(std::move(seen));
+  stage_.record->rungs.push_back({now, session->roomType, session->rung});
+  sessions_.push_back(std::move(session));
+  if (fallsOver(now)) {
+    fallen_ = true;
+    stage_.record->nodesFallen.push_back("node " + std::to_string(node) + " at " +
+                                         std::to_string(now / 1000) + " ms");
+    kill();
+  }
+}
+
+bool StandIn::fallsOver(Micros now) {
+  const Terms& t = stage_.day->deployment.terms;
+  if (!coldStart || now - startedAt_ > t.coldTime) return false;
+  std::erase_if(coldSeen_, [&](Micros at) { return at <= now - t.fallTime; });
+  coldSeen_.push_back(now);
+  const double bears = t.placesByKind[0] * stage_.world->warmth(node, now) * static_cast<double>(t.fallTime) /
+                       static_cast<double>(t.coldTime) * t.overloadFactor;
+  return static_cast<double>(coldSeen_.size()) > bears + 2;
+}
+
+StandIn::Session* StandIn::find(const Connection& connection, const media::Message& message) {
+  const std::string_view id = message.header("Session"), pipelined = message.header("Pipelined-Requests");
+  for (auto it = sessions_.rbegin(); it != sessions_.rend(); ++it) {
+    Session& s = **it;
+    if (s.connection == &connection && !s.ended &&
+        ((!id.empty() && s.id == id) || (id.empty() && s.pipelined == pipelined)))
+      return &s;
+  }
+  return nullptr;
+}
+
+void StandIn::process(Connection& connection, const media::Message& message) {
+  if (connection.dead) return;
+  Session* session = find(connection, message);
+  if (message.method == "TEARDOWN") return answer(connection, 200, message.cseq(), "", true);
+  if (session == nullptr) return answer(connection, 454, message.cseq(), "", false);
+  if (message.method == "SETUP") return startSetUp(*session);
+  if (message.method == "PLAY") {
+    session->playCseq = message.cseq();
+    return;
+  }
+  if (message.method == "SET_PARAMETER") {
+    const std::size_t at = message.body.find("rung:");
+    if (at != std::string::npos) {
+      session->rung = std::atoi(message.body.c_str() + at + 5);
+      stage_.record->rungs.push_back({stage_.now(), session->roomType, session->rung});
+      if (session->stream != 0) stage_.world->setRung(session->stream, session->rung);
+    }
+    return answer(connection, 200, message.cseq(), session->id, true);
+  }
+  answer(connection, 501, message.cseq(), "", false);
+}
+
+void StandIn::startSetUp(Session& session) {
+  audit::SetUpSeen& seen = stage_.record->setUps[session.seen];
+  const Terms& t = stage_.day->deployment.terms;
+  int status = 0;
+  if (faults.draining) status = 503;
+  if (status == 0 && stage_.world->streams(node) >= static_cast<std::size_t>(t.placesByKind[0])) status = 453;
+  if (status == 0 && t.refusesFrom > 0 && stage_.world->load(node, 0).link >= t.refusesFrom) status = 453;
+  if (status == 0 && chance_.comes(faults.fail)) status = 500;
+  if (status != 0) {
+    if (status != 500) seen.refusedAt = stage_.now();
+    seen.answeredAt = stage_.now();
+    answer(*session.connection, status, session.setUpCseq, "", true);
+    return end(session);
+  }
+  Micros takes = chance_.span(stage_.day->setUpLeast, stage_.day->setUpMost);
+  if (chance_.comes(faults.slow)) takes *= 20;
+  session.runAt = stage_.now() + takes;
+}
+
+void StandIn::runIt(Session& session) {
+  const Micros now = stage_.now();
+  audit::SetUpSeen& seen = stage_.record->setUps[session.seen];
+  session.ran = true;
+  seen.ranAt = now;
+  session.id = std::to_string(node) + "-" + std::to_string(++nextSession_);
+  session.until = now + stage_.lengthLeft(session.viewer);
+  session.stream =
+      stage_.world->play(node, std::atoi(session.viewer.c_str() + 1), session.roomType, session.rung,
+                         session.title, stage_.inTime(session.viewer, session.roomType));
+  if (faults.loseAnswers) return;
+  seen.answeredAt = now;
+  answer(*session.connection, 200, session.setUpCseq, session.id, true);
+  if (session.playCseq >= 0) answer(*session.connection, 200, session.playCseq, session.id, true);
+}
+
+void StandIn::end(Session& session) {
+  if (session.ended) return;
+  session.ended = true;
+  stage_.record->setUps[session.seen].endedAt = stage_.now();
+  if (session.stream != 0) stage_.world->stop(session.stream);
+}
+
+LoadReport StandIn::report(Micros late) const {
+  const NodeLoad load = stage_.world->load(node, late);
+  LoadReport told;
+  told.linkUse = load.link;
+  if (stage_.day->deployment.terms.uplinksReported) told.uplinkUse = load.uplink;
+  return told;
+}
+
+void StandIn::answer(Connection& connection, int status, long long cseq, const std::string& session,
+                     bool load) {
+  if (connection.dead || faults.loseAnswers) return;
+  media::Message reply;
+  reply.status = status;
+  reply.headers.emplace_back("CSeq", std::to_string(cseq));
+  if (!session.empty()) reply.headers.emplace_back("Session", session + ";timeout=60");
+  if (load) reply.headers.emplace_back("Endpoint-Load-Metrics", media::orcaOf(report(300'000)));
+  const std::string bytes = reply.bytes();
+  evbuffer_add(bufferevent_get_output(connection.bev.get()), bytes.data(), bytes.size());
+}
+
+void StandIn::notify(Session& session, const char* reason, const LoadReport& told,
+                     std::optional<double> delivered) {
+  Connection& connection = *session.connection;
+  if (connection.dead || faults.loseAnswers || faults.hang) return;
+  media::Message message;
+  message.method = "PLAY_NOTIFY";
+  message.uri = "*";
+  message.headers = {{"CSeq", "1"},
+                     {"Session", session.id},
+                     {"Notify-Reason", reason},
+                     {"Endpoint-Load-Metrics", media::orcaOf(told, delivered)}};
+  const std::string bytes = message.bytes();
+  evbuffer_add(bufferevent_get_output(connection.bev.get()), bytes.data(), bytes.size());
+}
+
+void StandIn::notes(Micros now) {
+  const Terms& t = stage_.day->deployment.terms;
+  const bool second = now - notedAt_ >= 1'000'000;
+  const bool full = t.reportsEvery > 0 && now - reportedAt_ >= t.reportsEvery;
+  if (!second && !full) return;
+  const double delivered = stage_.world->load(node, t.seenAfter).delivered;
+  const bool shortNow = delivered < 0.98;
+  for (auto& connection : connections_) {
+    if (connection->dead) continue;
+    const auto plays = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& s) {
+      return s->connection == connection.get() && s->ran && !s->ended;
+    });
+    if (plays == sessions_.end()) continue;
+    if (second && (shortNow || wasShort_)) notify(**plays, "media-properties-update", {}, delivered);
+    if (full) notify(**plays, "media-properties-update", report(t.seenAfter), std::nullopt);
+  }
+  if (second) notedAt_ = now, wasShort_ = shortNow;
+  if (full) reportedAt_ = now;
+}
+
+void StandIn::tick() {
+  if (dead_) return;
+  const Micros now = stage_.now();
+  if (!faults.hang) {
+    for (std::size_t i = 0; i < connections_.size(); ++i) {
+      Connection& connection = *connections_[i];
+      const std::vector<media::Message> held = std::move(connection.held);
+      connection.held.clear();
+      for (const media::Message& message : held) process(connection, message);
+    }
+    for (std::size_t i = 0; i < sessions_.size(); ++i) {
+      Session& session = *sessions_[i];
+      if (session.ended) continue;
+      if (!session.ran && session.runAt != 0 && now >= session.runAt) runIt(session);
+      if (session.ran && now >= session.until) {
+        notify(session, "end-of-stream", report(0), std::nullopt);
+        end(session);
+      }
+    }
+    notes(now);
+  }
+  std::erase_if(sessions_, [](const auto& s) { return s->ended; });
+  std::erase_if(connections_, [](const auto& c) { return c->dead; });
+}
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,114 @@
+#include "lab/world.h"
+
+#include <algorithm>
+
+namespace lupinsill::lab {
+namespace {
+constexpr Micros pastKept = 6'000'000;
+}
+
+World::World(const Day& day, std::uint64_t seed) : day_(day), chance_(seed, 2) {
+  for (int rack = 0; rack < std::max(1, day.deployment.terms.racks); ++rack) {
+    uplinkFactor_[rack] = 1 + chance_.between(-day.spread, day.spread);
+    uplinkCut_[rack] = 1;
+  }
+  for (int title = 0; title < day.titles; ++title) titleFactor_[title] = 1 + chance_.between(-0.15, 0.15);
+}
+
+void World::addNode(NodeId node, int cell, Micros startedAt, bool coldStart) {
+  Node& n = nodes_[node];
+  n.cell = cell;
+  n.startedAt = startedAt;
+  n.coldStart = coldStart;
+  n.factor = 1 + chance_.between(-day_.spread, day_.spread) / 2;
+}
+
+void World::removeNode(NodeId node) {
+  std::erase_if(streams_, [&](const auto& s) { return s.second.node == node; });
+  nodes_.erase(node);
+}
+
+double World::warmth(NodeId node, Micros now) const {
+  const Node& n = nodes_.at(node);
+  const Terms& t = day_.deployment.terms;
+  if (!n.coldStart) return 1;
+  const double age = static_cast<double>(now - n.startedAt) / static_cast<double>(t.coldTime);
+  return t.startCapacity + (1 - t.startCapacity) * std::clamp(age, 0.0, 1.0);
+}
+
+Stream World::play(NodeId node, int viewer, int roomType, int rung, int title, bool earns) {
+  const auto it = titleFactor_.find(title);
+  streams_[++next_] = {node, viewer, roomType, rung, it == titleFactor_.end() ? 1.0 : it->second, earns};
+  ++nodes_[node].streams;
+  return next_;
+}
+
+void World::setRung(Stream stream, int rung) {
+  const auto it = streams_.find(stream);
+  if (it == streams_.end() || it->second.rung == rung) return;
+  const Terms& t = day_.deployment.terms;
+  const RoomType& room = t.roomTypes[static_cast<std::size_t>(it->second.roomType)];
+  it->second.rung = rung;
+  ++rungSteps_;
+  if (it->second.earns) earned_[it->second.viewer] -= t.switchSeconds * room.benefit;
+}
+
+void World::stop(Stream stream) {
+  const auto it = streams_.find(stream);
+  if (it == streams_.end()) return;
+  --nodes_[it->second.node].streams;
+  streams_.erase(it);
+}
+
+std::size_t World::streams(NodeId node) const {
+  const auto it = nodes_.find(node);
+  return it == nodes_.end() ? 0 : it->second.streams;
+}
+
+void World::step(Micros now) {
+  const double seconds = last_ == 0 ? 0 : static_cast<double>(now - last_) / 1e6;
+  last_ = now;
+  const Terms& t = day_.deployment.terms;
+  const int racks = std::max(1, t.racks);
+  std::map<NodeId, double> asked;
+  std::map<int, double> rackAsked;
+  for (const auto& [id, s] : streams_) {
+    const double kb = t.ladderKb[static_cast<std::size_t>(s.rung)] *
+                      t.roomTypes[static_cast<std::size_t>(s.roomType)].rateFactor * s.factor;
+    asked[s.node] += kb;
+    rackAsked[nodes_[s.node].cell % racks] += kb;
+  }
+  std::map<NodeId, double> share;
+  for (auto& [id, n] : nodes_) {
+    const int rack = n.cell % racks;
+    const double link = day_.linkKb * n.factor * warmth(id, now) / n.cut;
+    const double uplink = t.rackKb > 0 ? t.rackKb * uplinkFactor_[rack] / uplinkCut_[rack] : 1e18;
+    NodeLoad load{asked[id] / link, rackAsked[rack] / uplink, 1};
+    share[id] = n.stalled ? 0 : std::min(1.0, 1 / std::max({1e-9, load.link, load.uplink}));
+    // What is told is smoothed over about a second.
+    const double before = n.past.empty() ? 1 : n.past.back().second.delivered;
+    load.delivered = before + (share[id] - before) * std::min(1.0, seconds * 2);
+    n.past.emplace_back(now, load);
+    while (n.past.front().first < now - pastKept) n.past.pop_front();
+  }
+  for (const auto& [id, s] : streams_) {
+    playedSeconds_ += seconds;
+    if (!s.earns) continue;
+    const RoomType& room = t.roomTypes[static_cast<std::size_t>(s.roomType)];
+    const double missing = std::max(0.0, 0.98 - share[s.node]);
+    const double worth = t.rungBenefit[static_cast<std::size_t>(s.rung)] * std::max(0.0, 1 - 6 * missing);
+    earned_[s.viewer] += seconds * room.benefit * worth;
+  }
+}
+
+NodeLoad World::load(NodeId node, Micros late) const {
+  const auto it = nodes_.find(node);
+  if (it == nodes_.end() || it->second.past.empty()) return {};
+  const auto& past = it->second.past;
+  const Micros wanted = past.back().first - late;
+  for (auto p = past.rbegin(); p != past.rend(); ++p)
+    if (p->first <= wanted) return p->second;
+  return past.front().second;
+}
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/lab/world.h
@@ -0,0 +1,77 @@
+// The links the lab's stand-in nodes share: racks, uplinks, equal cuts, warm-up, and what it earns. Simulated
+// on the real clock in short steps; nothing here is a measurement of a real machine. Whole microseconds, kB a
+// second. Not to be moved while stand-ins hold it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "lab/day.h"
+
+namespace lupinsill::lab {
+
+using Stream = std::uint64_t;
+
+struct NodeLoad {
+  double link = 0;       // asked over given
+  double uplink = 0;     // of its rack
+  double delivered = 1;  // share of the rates
+};
+
+class World {
+ public:
+  World(const Day& day, std::uint64_t seed);
+
+  void addNode(NodeId node, int cell, Micros startedAt, bool coldStart);
+  void removeNode(NodeId node);
+  Stream play(NodeId node, int viewer, int roomType, int rung, int title, bool earns);
+  void setRung(Stream stream, int rung);
+  void stop(Stream stream);
+  void step(Micros now);
+
+  void cutLink(NodeId node, double times) { nodes_[node].cut = times; }
+  void cutUplink(int rack, double times) { uplinkCut_[rack] = times; }
+  void stall(NodeId node, bool on) { nodes_[node].stalled = on; }
+  NodeLoad load(NodeId node, Micros late) const;
+  std::size_t streams(NodeId node) const;
+  double warmth(NodeId node, Micros now) const;
+
+  const std::map<int, double>& earned() const { return earned_; }
+  double steps() const { return rungSteps_; }
+  double playedSeconds() const { return playedSeconds_; }
+
+ private:
+  struct Node {
+    int cell = 0;
+    Micros startedAt = 0;
+    bool coldStart = false;
+    double factor = 1;  // of its link, against the mean
+    double cut = 1;
+    bool stalled = false;
+    std::deque<std::pair<Micros, NodeLoad>> past;
+    std::size_t streams = 0;
+  };
+  struct Playing {
+    NodeId node;
+    int viewer;
+    int roomType;
+    int rung;
+    double factor;  // of its title's rate
+    bool earns;
+  };
+  const Day& day_;
+  Chance chance_;
+  std::map<NodeId, Node> nodes_;
+  std::map<Stream, Playing> streams_;
+  std::map<int, double> uplinkFactor_, uplinkCut_;
+  std::map<int, double> titleFactor_;
+  std::map<int, double> earned_;
+  Stream next_ = 0;
+  Micros last_ = 0;
+  double rungSteps_ = 0;
+  double playedSeconds_ = 0;
+};
+
+}  // namespace lupinsill::lab
--- /dev/null
+++ b/src/net/handles.h
@@ -0,0 +1,47 @@
+// libevent's objects as values that free themselves. A bufferevent owns its socket.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace lupinsill::net {
+
+template <auto Free>
+struct Freer {
+  template <class T>
+  void operator()(T* thing) const {
+    Free(thing);
+  }
+};
+
+using Base = std::unique_ptr<event_base, Freer<event_base_free>>;
+using Bev = std::unique_ptr<bufferevent, Freer<bufferevent_free>>;
+using Event = std::unique_ptr<event, Freer<event_free>>;
+using Listener = std::unique_ptr<evconnlistener, Freer<evconnlistener_free>>;
+using Http = std::unique_ptr<evhttp, Freer<evhttp_free>>;
+
+struct CannotListen : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Listens on host:port; port 0 takes a free one. Throws CannotListen.
+Listener listenOn(event_base* base, const std::string& host, int port, evconnlistener_cb onAccept,
+                  void* user);
+int portOf(evconnlistener* listener);
+// A bufferevent that connects; null where the address is unusable.
+Bev connectTo(event_base* base, const std::string& host, int port);
+void noDelay(int fd);
+
+// The one clock of a process: whole microseconds, never back.
+std::int64_t monotonicNow();
+std::int64_t wallNow();
+
+}  // namespace lupinsill::net
--- /dev/null
+++ b/src/session/front.cpp
@@ -0,0 +1,571 @@
+#include "session/front.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lupinsill::session {
+namespace {
+
+constexpr Micros millisecond = 1'000;
+constexpr Micros tick = 200 * millisecond;      // at least so often there is a turn
+constexpr Micros leastLeft = 60 * millisecond;  // under it no join could be answered in time
+constexpr int roundsMost = 64;                  // of held-back joins within one turn
+
+bool provesNothingRan(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot;
+}
+
+}  // namespace
+
+const char* nameOf(WhyThrottled why) {
+  switch (why) {
+    case WhyThrottled::noRoom:
+      return "no-room";
+    case WhyThrottled::busy:
+      return "busy";
+    case WhyThrottled::late:
+      return "late";
+    case WhyThrottled::draining:
+      return "draining";
+    case WhyThrottled::unknownTitle:
+      return "unknown-title";
+  }
+  return "?";
+}
+const char* nameOf(WhyTerminated why) {
+  switch (why) {
+    case WhyTerminated::mayHaveRun:
+      return "may-have-run";
+    case WhyTerminated::ended:
+      return "ended";
+    case WhyTerminated::failed:
+      return "failed";
+  }
+  return "?";
+}
+const char* nameOf(WhyEnded why) {
+  switch (why) {
+    case WhyEnded::finished:
+      return "finished";
+    case WhyEnded::nodeLost:
+      return "node-lost";
+    case WhyEnded::directorDrains:
+      return "director-drains";
+  }
+  return "?";
+}
+
+Front::Front(Terms terms, Bounds bounds, std::unique_ptr<Decider> decider)
+    : terms_(std::move(terms)),
+      bounds_(bounds),
+      decider_(std::move(decider)),
+      guards_(terms_, bounds.grace) {}
+
+// ---- what comes in ----
+
+void Front::ask(Ask ask) { came_.push_back(CameAsk{std::move(ask)}); }
+void Front::leave(Line line) { came_.push_back(CameLeave{line, false}); }
+void Front::closed(Line line) { came_.push_back(CameLeave{line, true}); }
+void Front::began(JoinKey join) { came_.push_back(CameBegan{join}); }
+void Front::drain(bool on) { draining_ = on; }
+void Front::endAll() { ending_ = draining_ = true; }
+
+// At once, not at the next turn: a time-out in between must know that the join may run.
+void Front::written(JoinKey join) {
+  if (JoinOut* out = findJoin(join)) out->written = true;
+}
+
+void Front::ended(JoinKey join, Outcome outcome, const LoadReport& report, bool finished) {
+  came_.push_back(CameEnd{join, outcome, report, finished});
+}
+
+void Front::noted(JoinKey join, Reading reading, double value) {
+  if (const JoinOut* out = findJoin(join))
+    came_.push_back(CameEvent{Noted{out->request->id, out->node, reading, value}});
+}
+
+void Front::told(ListTold told) { came_.push_back(CameEvent{std::move(told)}); }
+
+// ---- the turn ----
+
+void Front::turn(Micros now, std::vector<Order>& orders) {
+  now_ = now;
+  orders_ = &orders;
+  const Micros gap = lastTurn_ == 0 ? 0 : now - lastTurn_;
+  lastTurn_ = now;
+  waited_ = gap > bounds_.standstill ? gap : 0;
+  if (waited_ != 0) ++figures_.standstills;
+
+  std::vector<Came> came = std::move(came_);
+  came_.clear();
+  // What the list says holds for every ask and join of the same turn, in whatever order sockets were read.
+  const auto list = [](const Came& one) {
+    const auto* event = std::get_if<CameEvent>(&one);
+    return event != nullptr && std::holds_alternative<ListTold>(event->event);
+  };
+  std::stable_partition(came.begin(), came.end(), list);
+  for (Came& one : came) std::visit([this](auto& c) { take(c); }, one);
+
+  while (!timeouts_.empty() && timeouts_.begin()->first <= now) {
+    JoinOut* out = findJoin(timeouts_.begin()->second);
+    timeouts_.erase(timeouts_.begin());
+    if (out != nullptr) timeOut(*out);
+  }
+  while (!alarms_.empty() && alarms_.begin()->first <= now) {
+    events_.push_back(AlarmRang{alarms_.begin()->second});
+    alarms_.erase(alarms_.begin());
+  }
+  // The first turn goes to the decider though nothing came in: it sets its alarm then.
+  bool first = true;
+  for (int round = 0; round < roundsMost && (first || !events_.empty()); ++round) {
+    first = false;
+    const std::vector<Event> batch = std::move(events_);
+    events_.clear();
+    std::vector<Action> actions;
+    decider_->handle(now, batch, actions);
+    for (const Action& action : actions) act(action);
+  }
+  lateOnes();
+  if (ending_) endEverything();
+  while (!spentOrder_.empty() && spentOrder_.front().first <= now) {
+    const auto it = spent_.find(spentOrder_.front().second);
+    if (it != spent_.end() && it->second.until <= now) spent_.erase(it);
+    spentOrder_.pop_front();
+  }
+  orders_ = nullptr;
+}
+
+Micros Front::due() const {
+  if (!events_.empty() || !came_.empty()) return lastTurn_;
+  Micros at = lastTurn_ + tick;
+  if (!timeouts_.empty()) at = std::min(at, timeouts_.begin()->first);
+  if (!alarms_.empty()) at = std::min(at, alarms_.begin()->first);
+  if (!deadlines_.empty()) at = std::min(at, deadlines_.begin()->first);
+  return at;
+}
+
+// ---- asks ----
+
+std::string Front::keyOf(const Ask& ask) const {
+  return ask.viewer + '\n' + ask.title + '\n' + std::to_string(ask.roomType) + '\n' + ask.askKey;
+}
+
+Micros Front::advice() const {
+  return terms_.retryAfter ? std::min<Micros>(terms_.maxRetryAfter, 500 * millisecond) : 0;
+}
+
+void Front::take(CameAsk& came) {
+  Ask& ask = came.ask;
+  if (lines_.contains(ask.line)) return;
+  ++figures_.asks;
+  const RoomType& room = terms_.roomTypes[static_cast<std::size_t>(ask.roomType)];
+  const bool unsafe = room.effect != Effect::repeatable;
+  if (unsafe && !ask.askKey.empty() && repeated(ask)) return;
+  const auto refuse = [&](WhyThrottled why) {
+    ++figures_.throttled;
+    orders_->push_back(Throttled{ask.line, advice(), why});
+  };
+  if (draining_) return refuse(WhyThrottled::draining);
+  if (ask.holders <= 0) return refuse(WhyThrottled::unknownTitle);
+  // Guards against answers after the client timeout where this director stood still: the ask may have lain
+  // in its socket for as long as that, and the client's clock has run all the time.
+  const Micros giveUpAt = now_ + ask.timeout - bounds_.answerMargin - waited_;
+  if (giveUpAt - now_ < leastLeft) {
+    ++figures_.late;
+    return refuse(WhyThrottled::late);
+  }
+  if (figures_.open >= bounds_.openMost || requests_.size() >= bounds_.playsMost ||
+      (unsafe && byKey_.size() + spent_.size() >= bounds_.keysMost))
+    return refuse(WhyThrottled::busy);
+
+  auto made = std::make_unique<Request>();
+  Request& request = *made;
+  request.id = ++nextSub_;
+  request.giveUpAt = giveUpAt;
+  request.lines.push_back({ask.line});
+  request.unsafe = unsafe;
+  request.ask = std::move(ask);
+  lines_[request.ask.line] = request.id;
+  if (unsafe && !request.ask.askKey.empty()) byKey_[keyOf(request.ask)] = request.id;
+  deadlines_.emplace(giveUpAt, request.id);
+  ++figures_.open;
+  guards_.asked(now_);
+  Viewing viewing{request.id,
+                  request.ask.title,
+                  request.ask.viewer,
+                  request.ask.roomType,
+                  request.ask.party,
+                  request.ask.firstCell,
+                  request.ask.holders,
+                  request.ask.top,
+                  giveUpAt,
+                  request.ask.length,
+                  false};
+  requests_.emplace(request.id, std::move(made));
+  events_.push_back(Requested{std::move(viewing)});
+}
+
+// Guards against a second charge where the answer to a paid ask was lost, the socket closed in the middle or
+// the client asked twice: the same key is the same ask, and is answered from its first join.
+bool Front::repeated(const Ask& ask) {
+  const std::string key = keyOf(ask);
+  if (const auto it = spent_.find(key); it != spent_.end()) {
+    ++figures_.repeated;
+    ++figures_.terminated;
+    orders_->push_back(Terminated{ask.line, it->second.why});
+    return true;
+  }
+  const auto it = byKey_.find(key);
+  if (it == byKey_.end()) return false;
+  Request& request = *find(it->second);
+  ++figures_.repeated;
+  request.lines.push_back({ask.line});
+  lines_[ask.line] = request.id;
+  if (request.orphanUntil != 0) {
+    deadlines_.erase({request.orphanUntil, request.id});
+    request.orphanUntil = 0;
+  }
+  if (request.out != nullptr && request.out->began) return answerPlaying(request), true;
+  // Nobody waited for the first join any more; from here on somebody does, and is owed an answer.
+  if (request.answered) {
+    request.answered = false;
+    ++figures_.open;
+    deadlines_.emplace(request.giveUpAt, request.id);
+  }
+  // It waits with the first, but no longer than its own client does.
+  const Micros giveUpAt = now_ + ask.timeout - bounds_.answerMargin - waited_;
+  if (giveUpAt < request.giveUpAt) {
+    deadlines_.erase({request.giveUpAt, request.id});
+    request.giveUpAt = giveUpAt;
+    deadlines_.emplace(giveUpAt, request.id);
+    if (JoinOut* out = request.out; out != nullptr && giveUpAt < out->until) {
+      timeouts_.erase({out->until, out->key});
+      out->until = giveUpAt;
+      timeouts_.emplace(out->until, out->key);
+    }
+  }
+  return true;
+}
+
+void Front::take(CameLeave& came) {
+  const auto it = lines_.find(came.line);
+  if (it == lines_.end()) return;
+  Request& request = *find(it->second);
+  lines_.erase(it);
+  std::erase_if(request.lines, [&](const LineOf& l) { return l.line == came.line; });
+  if (!request.lines.empty() || request.lapsed) return;
+  // A paid subscription whose player vanished goes on for a while, so that the same key finds it again.
+  if (came.closed && request.unsafe && request.out != nullptr && !request.ask.askKey.empty()) {
+    deadlines_.erase({request.giveUpAt, request.id});
+    request.orphanUntil = now_ + bounds_.orphanHold;
+    deadlines_.emplace(request.orphanUntil, request.id);
+    return settle(request);
+  }
+  if (request.out != nullptr && request.out->began)
+    return finishJoin(*request.out, Outcome::cancelled, {}, true, true);
+  lapse(request);
+}
+
+void Front::lapse(Request& request) {
+  request.lapsed = true;
+  settle(request);
+  deadlines_.erase({request.giveUpAt, request.id});
+  events_.push_back(Lapsed{request.id});
+  if (request.out != nullptr) return;
+  if (request.unsafe && request.mayHaveRun) remember(request, WhyTerminated::mayHaveRun);
+  forget(request.id);
+}
+
+// ---- the list and the notes ----
+
+void Front::take(CameEvent& came) {
+  if (const auto* list = std::get_if<ListTold>(&came.event)) {
+    guards_.listed(now_, *list);
+    // Guards against a join that is decided, waits for its connection, and would be written long after the
+    // word that its node drains: it is given back unwritten, and placed anew.
+    for (const auto& [key, out] : joins_)
+      if (!out->written && guards_.draining(out->node)) orders_->push_back(Withdraw{key});
+  }
+  events_.push_back(std::move(came.event));
+}
+
+// ---- joins ----
+
+void Front::take(CameBegan& came) {
+  JoinOut* out = findJoin(came.join);
+  if (out == nullptr || out->began) return;
+  Request& request = *out->request;
+  // It began, but too late to say so in time: the player is told as if the join had timed out.
+  if (!request.answered && now_ >= request.giveUpAt + bounds_.answerMargin / 2) return timeOut(*out);
+  out->began = true;
+  ++figures_.plays;
+  timeouts_.erase({out->until, out->key});
+  deadlines_.erase({request.giveUpAt, request.id});
+  events_.push_back(Began{request.id, out->number});
+  if (request.lapsed) return finishJoin(*out, Outcome::cancelled, {}, true, true);
+  answerPlaying(request);
+}
+
+void Front::take(CameEnd& came) {
+  JoinOut* out = findJoin(came.join);
+  if (out == nullptr) return;
+  if (came.outcome == Outcome::moot) ++figures_.handedBack;
+  if (!out->began) return endBeforePlay(*out, came.outcome, came.report, false);
+  ++figures_.ended;
+  if (!came.finished) ++figures_.nodeLost;
+  endLines(*out->request, came.finished ? WhyEnded::finished : WhyEnded::nodeLost,
+           came.finished ? 0 : advice());
+  finishJoin(*out, came.finished ? Outcome::ok : came.outcome, came.report, true, false);
+}
+
+// What has not been written never ran, however long it waited.
+void Front::timeOut(JoinOut& out) {
+  endBeforePlay(out, out.written ? Outcome::timeout : Outcome::connectFailed, {}, true);
+}
+
+void Front::endBeforePlay(JoinOut& out, Outcome outcome, const LoadReport& report, bool tellEdge) {
+  const Request& request = *out.request;
+  finishJoin(out, outcome, report, request.lapsed || request.lines.empty(), tellEdge);
+}
+
+void Front::finishJoin(JoinOut& out, Outcome outcome, const LoadReport& report, bool settled, bool tellEdge) {
+  Request& request = *out.request;
+  const JoinKey key = out.key;
+  // What has played has run, whatever its node says at the end.
+  if (out.began || !provesNothingRan(outcome)) request.mayHaveRun = true;
+  if (out.counted) guards_.ended(request.ask.title, request.ask.roomType);
+  const bool played = out.began;
+  if (played) --figures_.plays;
+  timeouts_.erase({out.until, key});
+  events_.push_back(JoinEnded{request.id, out.node, out.number, outcome, settled, report});
+  if (request.out == &out) request.out = nullptr;
+  joins_.erase(key);
+  if (tellEdge) orders_->push_back(TearDown{key});
+  if (!settled) return;
+  if (request.unsafe && request.mayHaveRun)
+    remember(request, played ? WhyTerminated::ended : WhyTerminated::mayHaveRun);
+  forget(request.id);
+}
+
+void Front::act(const Action& action) {
+  if (const auto* rung = std::get_if<SetRung>(&action)) {
+    Request* request = find(rung->sub);
+    if (request == nullptr) return;
+    const int floor = terms_.roomTypes[static_cast<std::size_t>(request->ask.roomType)].floor;
+    request->rung = rung->rung;
+    if (bounds_.guarded && request->rung < floor) trip(Rule::floor), request->rung = floor;
+    if (request->out == nullptr) return;
+    orders_->push_back(ChangeRung{request->out->key, request->rung});
+    if (!request->out->began) return;
+    ++figures_.rungChanges;
+    for (const LineOf& line : request->lines) orders_->push_back(RungNow{line.line, request->rung});
+  } else if (const auto* go = std::get_if<Join>(&action)) {
+    if (Request* request = find(go->sub)) join(*request, go->node, go->patience);
+  } else if (const auto* off = std::get_if<CallOff>(&action)) {
+    Request* request = find(off->sub);
+    if (request == nullptr || request->out == nullptr || request->out->began ||
+        request->out->number != off->join)
+      return;
+    endBeforePlay(*request->out, request->out->written ? Outcome::cancelled : Outcome::connectFailed, {},
+                  true);
+  } else if (const auto* no = std::get_if<Throttle>(&action)) {
+    Request* request = find(no->sub);
+    if (request == nullptr || request->answered) return;
+    if (bounds_.guarded && request->unsafe && (request->mayHaveRun || request->out != nullptr)) {
+      trip(Rule::onceOnly);
+      answerTerminated(*request, WhyTerminated::mayHaveRun);
+    } else {
+      answerThrottled(*request, no->retryAfter, WhyThrottled::noRoom);
+    }
+    forget(no->sub);
+  } else if (const auto* end = std::get_if<Terminate>(&action)) {
+    Request* request = find(end->sub);
+    if (request == nullptr || request->answered) return;
+    const auto why = request->mayHaveRun ? WhyTerminated::mayHaveRun : WhyTerminated::failed;
+    answerTerminated(*request, why);
+    if (request->unsafe && request->mayHaveRun) remember(*request, why);
+    forget(end->sub);
+  } else if (const auto* alarm = std::get_if<SetAlarm>(&action)) {
+    alarms_.emplace(now_ + alarm->span, alarm->key);
+  } else {
+    orders_->push_back(FollowTheList{});
+  }
+}
+
+void Front::join(Request& request, NodeId node, Micros patience) {
+  const int number = request.joins++;
+  const RoomType& room = terms_.roomTypes[static_cast<std::size_t>(request.ask.roomType)];
+  Rule rule = Rule::oneJoin;
+  bool allowed = !bounds_.guarded || request.out == nullptr;
+  if (allowed && bounds_.guarded && room.effect == Effect::once && request.mayHaveRun)
+    allowed = false, rule = Rule::onceOnly;
+  if (allowed && bounds_.guarded)
+    allowed = guards_.mayLeave(now_, request.ask.title, request.ask.roomType, node, number > 0, rule);
+  if (!allowed) {
+    trip(rule);
+    events_.push_back(JoinEnded{request.id, node, number, Outcome::moot, false, {}});
+    return;
+  }
+  ++figures_.joins;
+  if (number > 0) ++figures_.furtherJoins;
+  auto made = std::make_unique<JoinOut>();
+  JoinOut& out = *made;
+  out.key = ++nextJoin_;
+  out.request = &request;
+  out.node = node;
+  out.number = number;
+  out.counted = bounds_.guarded;
+  out.until = patience > 0 ? std::min(now_ + patience, request.giveUpAt) : request.giveUpAt;
+  timeouts_.emplace(out.until, out.key);
+  request.out = &out;
+  orders_->push_back(SetUp{out.key, request.id, node, request.ask.roomType, request.rung, request.ask.title,
+                           request.ask.viewer, request.ask.askKey});
+  joins_.emplace(out.key, std::move(made));
+}
+
+// ---- answers: the only places from which a player hears one ----
+
+void Front::settle(Request& request) {
+  if (request.answered) return;
+  request.answered = true;
+  --figures_.open;
+}
+
+void Front::answerPlaying(Request& request) {
+  settle(request);
+  for (LineOf& line : request.lines) {
+    if (line.answered) continue;
+    line.answered = true;
+    ++figures_.playing;
+    orders_->push_back(Playing{line.line, request.id, request.out->node, request.rung});
+  }
+}
+
+void Front::answerThrottled(Request& request, Micros retryAfter, WhyThrottled why) {
+  settle(request);
+  for (LineOf& line : request.lines) {
+    if (line.answered) continue;
+    line.answered = true;
+    ++figures_.throttled;
+    orders_->push_back(Throttled{line.line, retryAfter, why});
+  }
+}
+
+void Front::answerTerminated(Request& request, WhyTerminated why) {
+  settle(request);
+  for (LineOf& line : request.lines) {
+    if (line.answered) continue;
+    line.answered = true;
+    ++figures_.terminated;
+    orders_->push_back(Terminated{line.line, why});
+  }
+}
+
+void Front::endLines(Request& request, WhyEnded why, Micros retryAfter) {
+  for (const LineOf& line : request.lines) orders_->push_back(Ended{line.line, why, retryAfter});
+}
+
+// Guards against any way in which an ask could be left without its answer: whatever the decider and the
+// edges do, an ask that is still open at its time is answered here. Also ends what nobody came back for.
+void Front::lateOnes() {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now_) {
+    const auto [at, sub] = *deadlines_.begin();
+    Request* request = find(sub);
+    if (request == nullptr) {
+      deadlines_.erase(deadlines_.begin());
+      continue;
+    }
+    if (request->orphanUntil == at) {
+      deadlines_.erase(deadlines_.begin());
+      if (request->out != nullptr && request->out->began)
+        finishJoin(*request->out, Outcome::cancelled, {}, true, true);
+      else
+        lapse(*request);
+      continue;
+    }
+    deadlines_.erase(deadlines_.begin());
+    if (!bounds_.guarded || request->answered) continue;
+    trip(Rule::oneAnswer);
+    const bool unsure = request->mayHaveRun || request->out != nullptr;
+    if (request->unsafe && unsure)
+      answerTerminated(*request, WhyTerminated::mayHaveRun);
+    else
+      answerThrottled(*request, advice(), WhyThrottled::late);
+    if (request->out != nullptr)
+      finishJoin(*request->out, request->out->written ? Outcome::timeout : Outcome::connectFailed, {}, true,
+                 true);
+    else
+      lapse(*request);
+  }
+}
+
+void Front::endEverything() {
+  ending_ = false;
+  while (!requests_.empty()) {
+    Request& request = *requests_.begin()->second;
+    const bool plays = request.out != nullptr && request.out->began;
+    if (plays)
+      endLines(request, WhyEnded::directorDrains, advice());
+    else if (request.unsafe && (request.mayHaveRun || (request.out != nullptr && request.out->written)))
+      answerTerminated(request, WhyTerminated::mayHaveRun);
+    else
+      answerThrottled(request, advice(), WhyThrottled::draining);
+    if (request.out != nullptr)
+      finishJoin(*request.out, Outcome::cancelled, {}, true, true);
+    else
+      lapse(request);
+  }
+}
+
+// ---- what is kept ----
+
+void Front::remember(const Request& request, WhyTerminated why) {
+  if (request.ask.askKey.empty()) return;
+  const std::string key = keyOf(request.ask);
+  spent_[key] = {now_ + bounds_.keyMemory, why};
+  spentOrder_.emplace_back(now_ + bounds_.keyMemory, key);
+}
+
+void Front::forget(SubId sub) {
+  const auto it = requests_.find(sub);
+  if (it == requests_.end()) return;
+  Request& request = *it->second;
+  settle(request);
+  for (const LineOf& line : request.lines) lines_.erase(line.line);
+  deadlines_.erase({request.giveUpAt, sub});
+  if (request.orphanUntil != 0) deadlines_.erase({request.orphanUntil, sub});
+  if (const auto key = byKey_.find(keyOf(request.ask)); key != byKey_.end() && key->second == sub)
+    byKey_.erase(key);
+  // Only an unguarded build leaves a second join behind: nobody waits for it.
+  if (!bounds_.guarded)
+    std::erase_if(joins_, [&](const auto& out) { return out.second->request == &request; });
+  requests_.erase(it);
+}
+
+Front::Request* Front::find(SubId sub) {
+  const auto it = requests_.find(sub);
+  return it == requests_.end() ? nullptr : it->second.get();
+}
+Front::JoinOut* Front::findJoin(JoinKey key) {
+  const auto it = joins_.find(key);
+  return it == joins_.end() ? nullptr : it->second.get();
+}
+
+Figures Front::figures() const {
+  Figures figures = figures_;
+  figures.keys = byKey_.size() + spent_.size();
+  return figures;
+}
+
+std::vector<Front::Shown> Front::shown() const {
+  std::map<NodeId, Shown> nodes;
+  for (const auto& [key, out] : joins_) {
+    Shown& node = nodes.try_emplace(out->node, Shown{out->node, 0, 0}).first->second;
+    ++(out->began ? node.plays : node.waiting);
+  }
+  std::vector<Shown> rows;
+  for (const auto& [id, node] : nodes) rows.push_back(node);
+  return rows;
+}
+
+}  // namespace lupinsill::session
--- /dev/null
+++ b/src/session/front.h
@@ -0,0 +1,269 @@
+// The life of every request of one director, from the ask to its one answer and on to the end of what plays.
+// No socket, no clock, no log: edges say what came in and hand over the time, and carry out the orders that
+// come back. Whatever is decided about placing goes through the Decider; every answer to a player and every
+// join to a media node leaves through this class, which keeps the six rules on both.
+//
+// Times are whole microseconds on one clock that never runs back. Nothing throws; an event for something
+// that has ended is passed over, since edges may be late. Source: operators' brief, docs/design/director.md.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "control.h"
+#include "session/decider.h"
+#include "session/guards.h"
+
+namespace lupinsill::session {
+
+using Line = std::uint64_t;     // one ask on one player's socket; named by the edge, never used again
+using JoinKey = std::uint64_t;  // one join, named by the front, never used again
+
+// What a player asks for. `askKey` names the ask: the same key again is the same ask (the answer to the
+// first may have been lost), not another subscription. `viewer` names who watches.
+struct Ask {
+  Line line = 0;
+  std::string askKey;
+  std::string viewer;
+  std::string title;
+  int roomType = 0;
+  int party = -1;
+  int firstCell = 0;
+  int holders = 0;  // 0: nothing holds it
+  int top = 0;
+  Micros timeout = 0;  // the client timeout, from when the ask was sent
+  std::optional<Micros> length;
+};
+
+// How the front is bounded, apart from the terms that the decider reads.
+struct Bounds {
+  Micros grace = 0;           // rule 3
+  Micros answerMargin = 0;    // answers leave so long before the client timeout
+  Micros standstill = 0;      // a gap between turns above it: asks may have waited in the socket so long
+  Micros orphanHold = 0;      // an unsafe subscription whose player is gone waits so long for its return
+  Micros keyMemory = 0;       // how long the key of an unsafe ask is remembered after its end
+  std::size_t openMost = 0;   // asks not answered yet
+  std::size_t keysMost = 0;   // keys remembered
+  std::size_t playsMost = 0;  // subscriptions held in all
+  bool guarded = true;        // off only where the lab plants a fault behind the guards
+};
+
+enum class WhyThrottled { noRoom, busy, late, draining, unknownTitle };
+enum class WhyTerminated { mayHaveRun, ended, failed };
+enum class WhyEnded { finished, nodeLost, directorDrains };
+const char* nameOf(WhyThrottled why);
+const char* nameOf(WhyTerminated why);
+const char* nameOf(WhyEnded why);
+
+// Orders to the players' edge: an ask gets exactly one of the first three.
+struct Playing {
+  Line line;
+  SubId sub;
+  NodeId node;
+  int rung;
+};
+struct Throttled {
+  Line line;
+  Micros retryAfter;  // 0: no advice
+  WhyThrottled why;
+};
+struct Terminated {
+  Line line;
+  WhyTerminated why;
+};
+struct RungNow {
+  Line line;
+  int rung;
+};
+struct Ended {
+  Line line;
+  WhyEnded why;
+  Micros retryAfter;
+};
+// Orders to the media edge.
+struct SetUp {
+  JoinKey join;
+  SubId sub;
+  NodeId node;
+  int roomType;
+  int rung;
+  std::string title;
+  std::string viewer;
+  std::string askKey;  // the same over all joins of one ask: a node may know a repeat by it
+};
+struct ChangeRung {
+  JoinKey join;
+  int rung;
+};
+struct TearDown {
+  JoinKey join;
+};
+// Give back a join that has not been written yet, as ended with Outcome::moot; pass over one that has.
+struct Withdraw {
+  JoinKey join;
+};
+struct FollowTheList {};
+
+using Order = std::variant<Playing, Throttled, Terminated, RungNow, Ended, SetUp, ChangeRung, TearDown,
+                           Withdraw, FollowTheList>;
+
+// Counters that only grow, but for the last three.
+struct Figures {
+  std::uint64_t asks = 0, playing = 0, throttled = 0, terminated = 0, joins = 0, furtherJoins = 0;
+  std::uint64_t repeated = 0;  // asks answered from an earlier one of the same key
+  std::uint64_t late = 0;      // asks too old when they were read
+  std::uint64_t standstills = 0;
+  std::uint64_t handedBack = 0;  // joins withdrawn before they were written
+  std::uint64_t ended = 0, nodeLost = 0, rungChanges = 0;
+  std::array<std::uint64_t, ruleCount> held{};  // by a guard, by rule
+  std::size_t open = 0, plays = 0, keys = 0;
+};
+
+class Front {
+ public:
+  Front(Terms terms, Bounds bounds, std::unique_ptr<Decider> decider);
+
+  // What came in since the last turn, in the order in which it arrived.
+  void ask(Ask ask);
+  void leave(Line line);   // the player said that it leaves
+  void closed(Line line);  // its socket closed; it may come back with the same key
+  void written(JoinKey join);
+  void began(JoinKey join);
+  void ended(JoinKey join, Outcome outcome, const LoadReport& report, bool finished = false);
+  void noted(JoinKey join, Reading reading, double value);
+  void told(ListTold told);
+  void drain(bool on);  // throttles new asks; what plays goes on
+  void endAll();        // tells every player that the director goes, and tears everything down
+
+  // Decides on all of that at once and appends what is to be done, in order.
+  void turn(Micros now, std::vector<Order>& orders);
+
+  // When the next turn is due though nothing comes in.
+  Micros due() const;
+  Figures figures() const;
+  bool draining() const { return draining_; }
+
+  struct Shown {  // of a node, for operators
+    NodeId node;
+    std::size_t waiting, plays;
+  };
+  std::vector<Shown> shown() const;
+
+ private:
+  struct Request;
+  struct JoinOut {
+    JoinKey key = 0;
+    Request* request = nullptr;
+    NodeId node = 0;
+    int number = 0;
+    bool written = false;
+    bool began = false;
+    bool counted = false;  // by the guards
+    Micros until = 0;
+  };
+  struct LineOf {
+    Line line = 0;
+    bool answered = false;
+  };
+  struct Request {
+    SubId id = 0;
+    Ask ask;
+    Micros giveUpAt = 0;
+    std::vector<LineOf> lines;
+    bool unsafe = false;
+    bool answered = false;    // the one answer has been decided
+    bool mayHaveRun = false;  // of joins that have ended
+    bool lapsed = false;      // the decider was told that nobody waits
+    int joins = 0;
+    int rung = 0;
+    JoinOut* out = nullptr;
+    Micros orphanUntil = 0;
+  };
+  // What is left of an unsafe ask once it has ended: enough to answer a repeat of it.
+  struct Spent {
+    Micros until = 0;
+    WhyTerminated why = WhyTerminated::ended;
+  };
+  struct CameAsk {
+    Ask ask;
+  };
+  struct CameLeave {
+    Line line;
+    bool closed;
+  };
+  struct CameEvent {
+    Event event;
+  };
+  struct CameEnd {
+    JoinKey join;
+    Outcome outcome;
+    LoadReport report;
+    bool finished;
+  };
+  struct CameBegan {
+    JoinKey join;
+  };
+  using Came = std::variant<CameAsk, CameLeave, CameEvent, CameEnd, CameBegan>;
+
+  void take(CameAsk& came);
+  void take(CameLeave& came);
+  void take(CameEvent& came);
+  void take(CameEnd& came);
+  void take(CameBegan& came);
+  bool repeated(const Ask& ask);
+  void act(const Action& action);
+  void join(Request& request, NodeId node, Micros patience);
+  void endBeforePlay(JoinOut& out, Outcome outcome, const LoadReport& report, bool tellEdge);
+  void finishJoin(JoinOut& out, Outcome outcome, const LoadReport& report, bool settled, bool tellEdge);
+  void timeOut(JoinOut& out);
+  void settle(Request& request);
+  void lapse(Request& request);
+  void endEverything();
+  Micros advice() const;
+  void answerPlaying(Request& request);
+  void answerThrottled(Request& request, Micros retryAfter, WhyThrottled why);
+  void answerTerminated(Request& request, WhyTerminated why);
+  void endLines(Request& request, WhyEnded why, Micros retryAfter);
+  void remember(const Request& request, WhyTerminated why);
+  void forget(SubId sub);
+  void lateOnes();
+  Request* find(SubId sub);
+  JoinOut* findJoin(JoinKey key);
+  std::string keyOf(const Ask& ask) const;
+  void trip(Rule rule) { ++figures_.held[static_cast<std::size_t>(rule)]; }
+
+  Terms terms_;
+  Bounds bounds_;
+  std::unique_ptr<Decider> decider_;
+  Guards guards_;
+  Micros now_ = 0;
+  Micros lastTurn_ = 0;
+  Micros waited_ = 0;  // how long the asks of this turn may have lain in the socket
+  bool draining_ = false;
+  bool ending_ = false;
+  SubId nextSub_ = 0;
+  JoinKey nextJoin_ = 0;
+  std::vector<Came> came_;
+  std::vector<Event> events_;
+  std::vector<Order>* orders_ = nullptr;
+  std::map<SubId, std::unique_ptr<Request>> requests_;
+  std::map<JoinKey, std::unique_ptr<JoinOut>> joins_;
+  std::map<Line, SubId> lines_;
+  std::map<std::string, SubId> byKey_;
+  std::map<std::string, Spent> spent_;
+  std::deque<std::pair<Micros, std::string>> spentOrder_;
+  std::set<std::pair<Micros, SubId>> deadlines_;  // of asks, and of subscriptions without a player
+  std::set<std::pair<Micros, JoinKey>> timeouts_;
+  std::multimap<Micros, std::int64_t> alarms_;
+  Figures figures_;
+};
+
+}  // namespace lupinsill::session
--- /dev/null
+++ b/src/settings/deployment.h
@@ -0,0 +1,76 @@
+// What one director is told at start, decoded once from its settings file, and the list of media nodes
+// decoded from its own. Whole microseconds, kB a second; names become indices here. Errors: BadSettings,
+// whose text is one line naming file, line, element and what was expected. Source: deploy/lupinsill.xsd and
+// deploy/nodes.xsd, which are built into the program.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "control.h"
+#include "fleet/membership.h"
+#include "session/front.h"
+
+namespace lupinsill::settings {
+
+struct BadSettings : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Endpoint {
+  std::string host;
+  int port = 0;
+};
+
+struct SocketLimits {
+  int connections = 0;
+  int asksPerSocket = 0;
+  std::size_t messageBytes = 0;
+  std::size_t unsentBytes = 0;
+  Micros handshake = 0;
+  Micros pingEvery = 0;
+  Micros idleClose = 0;
+};
+
+struct NodeLimits {
+  Micros connect = 0;
+  Micros idleClose = 0;
+  std::size_t unsentBytes = 0;
+};
+
+struct Deployment {
+  std::string name;
+  Endpoint players;
+  Endpoint admin;
+  std::string listFile;
+  std::string keptAs;
+  Micros lookEvery = 0;
+  double leastKept = 0;
+  std::string ticketKeyFile;
+  Micros ticketValid = 0;
+  std::vector<std::string> roomTypes;  // names, by the index that Terms uses; so the next two
+  std::vector<Micros> clientTimeouts;
+  std::vector<std::string> kinds;
+  std::vector<std::string> tenants;
+  Terms terms;
+  session::Bounds bounds;
+  SocketLimits sockets;
+  NodeLimits nodes;
+  std::string logLevel;
+  std::string logForm;
+};
+
+Deployment readDeployment(const std::string& file);
+// The same file with all defaults written out.
+std::string shown(const std::string& file);
+// What of `next` differs from `now` in a way that a running director cannot take over; empty: nothing.
+std::vector<std::string> unsafeChanges(const Deployment& now, const Deployment& next);
+
+// `wallToClock`: added to UTC microseconds to get the caller's clock.
+fleet::Word readNodes(const std::string& file, const Deployment& deployment, Micros wallToClock);
+
+Micros durationOf(const std::string& text);  // as the schema admits it: digits and a unit
+
+}  // namespace lupinsill::settings
--- /dev/null
+++ b/src/ticket/ticket.cpp
@@ -0,0 +1,83 @@
+#include "ticket/ticket.h"
+
+#include <sodium.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+#include <vector>
+
+namespace lupinsill::ticket {
+namespace {
+
+constexpr int variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
+
+std::string encoded(const unsigned char* bytes, std::size_t size) {
+  std::string out(sodium_base64_encoded_len(size, variant), '\0');
+  sodium_bin2base64(out.data(), out.size(), bytes, size, variant);
+  out.resize(out.size() - 1);
+  return out;
+}
+
+bool decoded(std::string_view text, std::vector<unsigned char>& out) {
+  if (text.empty()) return false;
+  out.resize(text.size());
+  std::size_t size = 0;
+  const char* end = nullptr;
+  if (sodium_base642bin(out.data(), out.size(), text.data(), text.size(), nullptr, &size, &end, variant) !=
+          0 ||
+      end != text.data() + text.size())
+    return false;
+  out.resize(size);
+  return true;
+}
+
+}  // namespace
+
+Key freshKey() {
+  Key key{};
+  randombytes_buf(key.data(), key.size());
+  return key;
+}
+
+Key readKey(const std::string& file) {
+  std::ifstream in(file);
+  std::string text;
+  if (!(in >> text)) throw std::runtime_error(file + ": ticket key cannot be read");
+  Key key{};
+  std::size_t size = 0;
+  const char* end = nullptr;
+  if (sodium_hex2bin(key.data(), key.size(), text.data(), text.size(), nullptr, &size, &end) != 0 ||
+      size != key.size() || end != text.data() + text.size())
+    throw std::runtime_error(file + ": ticket key: expected 64 hex digits");
+  return key;
+}
+
+std::string sign(const Key& key, const Claims& claims) {
+  const std::string payload = claims.subscription + "|" + claims.node + "|" + std::to_string(claims.rung) +
+                              "|" + std::to_string(claims.expires);
+  const auto* bytes = reinterpret_cast<const unsigned char*>(payload.data());
+  std::array<unsigned char, crypto_auth_BYTES> mac{};
+  crypto_auth(mac.data(), bytes, payload.size(), key.data());
+  return encoded(bytes, payload.size()) + "." + encoded(mac.data(), mac.size());
+}
+
+Verdict check(const Key& key, std::string_view ticket, std::int64_t nowSeconds, Claims& claims) {
+  const std::size_t dot = ticket.find('.');
+  if (dot == std::string_view::npos || ticket.size() > 1024) return Verdict::malformed;
+  std::vector<unsigned char> payload, mac;
+  if (!decoded(ticket.substr(0, dot), payload) || !decoded(ticket.substr(dot + 1), mac) ||
+      mac.size() != crypto_auth_BYTES)
+    return Verdict::malformed;
+  if (crypto_auth_verify(mac.data(), payload.data(), payload.size(), key.data()) != 0) return Verdict::forged;
+  const std::string text(payload.begin(), payload.end());
+  const std::size_t a = text.find('|');
+  const std::size_t b = a == std::string::npos ? a : text.find('|', a + 1);
+  const std::size_t c = b == std::string::npos ? b : text.find('|', b + 1);
+  if (c == std::string::npos) return Verdict::malformed;
+  claims = {text.substr(0, a), text.substr(a + 1, b - a - 1), std::atoi(text.c_str() + b + 1),
+            std::atoll(text.c_str() + c + 1)};
+  return claims.expires < nowSeconds ? Verdict::expired : Verdict::good;
+}
+
+}  // namespace lupinsill::ticket
--- /dev/null
+++ b/tests/director_test.cpp
@@ -0,0 +1,348 @@
+// A director as a process, spoken to over plain sockets by a client and a node that are written by hand here.
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "director/admin.h"
+#include "media/rtsp.h"
+#include "websocket/handshake.h"
+
+using namespace lupinsill;
+
+namespace {
+
+void sleepMs(int n) { std::this_thread::sleep_for(std::chrono::milliseconds(n)); }
+
+struct Socket {
+  int fd = -1;
+  explicit Socket(int port) {
+    fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  }
+  ~Socket() { close(fd); }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  void send(const std::string& bytes) const {
+    REQUIRE(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  // What comes until `enough` says so, the peer closes, or five seconds pass.
+  template <class Enough>
+  std::string read(Enough enough) const {
+    std::string got;
+    for (int i = 0; i < 100 && !enough(got); ++i) {
+      pollfd p{fd, POLLIN, 0};
+      if (poll(&p, 1, 50) <= 0) continue;
+      char buffer[4096];
+      const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
+      if (n <= 0) break;
+      got.append(buffer, static_cast<std::size_t>(n));
+    }
+    return got;
+  }
+  void open() const {
+    send(websocket::openingRequest("x", websocket::freshKey()));
+    REQUIRE(read([](const std::string& s) { return s.ends_with("\r\n\r\n"); }).starts_with("HTTP/1.1 101"));
+  }
+  static std::string frame(const std::string& text, char opcode = '\x81') {
+    std::string out(1, opcode);
+    if (text.size() < 126) {
+      out += static_cast<char>(0x80 | text.size());
+    } else {
+      out += static_cast<char>(0x80 | 126);
+      out += static_cast<char>(text.size() >> 8);
+      out += static_cast<char>(text.size() & 255);
+    }
+    return out + std::string(4, '\0') + text;  // a mask of zeros is a mask
+  }
+  // The close code that the director answers with; 0 where it closes without one.
+  int closeCode() const {
+    const std::string got =
+        read([](const std::string& s) { return s.size() >= 4 && s.find('\x88') != std::string::npos; });
+    const std::size_t at = got.find('\x88');
+    if (at == std::string::npos || at + 3 >= got.size()) return 0;
+    return static_cast<unsigned char>(got[at + 2]) * 256 + static_cast<unsigned char>(got[at + 3]);
+  }
+};
+
+struct Director {
+  std::string folder;
+  pid_t pid = 0;
+  int players = 0, admin = 0;
+
+  explicit Director(const std::string& nodes = "", const std::string& limits = "<limits/>") {
+    std::string made = std::filesystem::temp_directory_path() / "lupinsill-director-XXXXXX";
+    folder = mkdtemp(made.data());
+    std::ifstream in(EXAMPLES "/small.xml");
+    std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    const auto put = [&](const std::string& from, const std::string& to) {
+      text.replace(text.find(from), from.size(), to);
+    };
+    put("127.0.0.1:7400", "127.0.0.1:0");
+    put("127.0.0.1:7401", "127.0.0.1:0");
+    put("<limits/>", limits);
+    std::ofstream(folder + "/small.xml") << text;
+    list(1, nodes);
+    start();
+  }
+  void list(int version, const std::string& nodes) const {
+    std::ofstream(folder + "/next") << "<nodes xmlns=\"urn:lupinsill:nodes:1\" version=\"" << version << "\">"
+                                    << nodes << "</nodes>";
+    std::filesystem::rename(folder + "/next", folder + "/small-nodes.xml");
+  }
+  void start() {
+    std::filesystem::remove(folder + "/ports");
+    pid = fork();
+    if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const std::string config = folder + "/small.xml", ports = folder + "/ports", log = folder + "/log";
+      if (freopen(log.c_str(), "a", stderr) == nullptr) _exit(1);
+      execl(PROGRAM, PROGRAM, "director", "--config", config.c_str(), "--ports", ports.c_str(), nullptr);
+      _exit(127);
+    }
+    for (int i = 0; i < 400 && admin == 0; ++i) {
+      sleepMs(25);
+      std::ifstream in(folder + "/ports");
+      std::string word;
+      in >> word >> players >> word >> admin;
+    }
+    REQUIRE(admin != 0);
+  }
+  int end(int signal) {
+    kill(pid, signal);
+    int status = 0;
+    waitpid(pid, &status, 0);
+    pid = players = admin = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  ~Director() {
+    if (pid != 0) end(SIGKILL);
+    std::filesystem::remove_all(folder);
+  }
+  std::string page(const std::string& path, const char* method = "GET") const {
+    return director::askAdmin({"127.0.0.1", admin}, method, path).body;
+  }
+  std::string log() const {
+    std::ifstream in(folder + "/log");
+    return std::string((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  }
+};
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+std::string askText(const std::string& id, const std::string& room = "recipe-clip") {
+  return R"({"type":"ask","id":")" + id + R"(","key":"k","viewer":"v","title":"t","room":")" + room + R"("})";
+}
+
+// A node that accepts one connection and is driven by the test.
+struct Node {
+  int listener, fd = -1, port;
+  media::Reader reader;
+  Node() {
+    listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    listen(listener, 8);
+    socklen_t size = sizeof at;
+    getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
+    port = ntohs(at.sin_port);
+  }
+  ~Node() {
+    if (fd >= 0) close(fd);
+    close(listener);
+  }
+  std::string entry() const {
+    return "<node id=\"1\" address=\"127.0.0.1:" + std::to_string(port) +
+           "\" kind=\"two-core\" zone=\"north\" cell=\"0\"/>";
+  }
+  media::Message next() {
+    for (int i = 0; i < 100; ++i) {
+      if (const auto message = reader.next()) return *message;
+      pollfd p{fd < 0 ? listener : fd, POLLIN, 0};
+      if (poll(&p, 1, 50) <= 0) continue;
+      if (fd < 0) {
+        fd = accept(listener, nullptr, nullptr);
+        continue;
+      }
+      char buffer[4096];
+      const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
+      if (n <= 0) break;
+      reader.feed({buffer, static_cast<std::size_t>(n)});
+    }
+    return {};
+  }
+  void answer(const media::Message& to, int status, const std::string& session = "") const {
+    media::Message reply;
+    reply.status = status;
+    reply.headers = {{"CSeq", std::string(to.header("CSeq"))}};
+    if (!session.empty()) reply.headers.emplace_back("Session", session);
+    send(reply);
+  }
+  void send(const media::Message& message) const {
+    const std::string bytes = message.bytes();
+    ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("Bad frames, bad JSON and bad messages get the close codes of the page, others are untouched") {
+  Director d;
+  Socket bystander(d.players);
+  bystander.open();
+  const auto closed = [&](const std::string& bytes) {
+    Socket s(d.players);
+    s.open();
+    s.send(bytes);
+    return s.closeCode();
+  };
+  CHECK(closed(Socket::frame("{\"type\":")) == 1007);
+  CHECK(closed(Socket::frame("{\"type\":\"dance\"}")) == 1008);
+  CHECK(closed(Socket::frame("x", '\x82')) == 1003);
+  CHECK(closed(Socket::frame("\xff\xfe")) == 1007);
+  CHECK(closed(Socket::frame(std::string(5000, ' '))) == 1009);
+  CHECK(closed("\x81\x05hello") == 1002);
+  bystander.send(Socket::frame(askText("a")));
+  CHECK(has(bystander.read([](const std::string& s) { return has(s, "}"); }), "throttled"));
+  Socket http(d.players);
+  http.send("GET / HTTP/1.1\r\n\r\n");
+  CHECK(has(http.read([](const std::string& s) { return has(s, "\r\n\r\n"); }), "400"));
+  CHECK(d.end(SIGTERM) == 0);
+}
+
+TEST_CASE("One connection over the limit is told so at once") {
+  Director d("", "<limits connections=\"2\"/>");
+  Socket a(d.players), b(d.players);
+  a.open();
+  b.open();
+  Socket c(d.players);
+  const std::string got = c.read([](const std::string& s) { return has(s, "\r\n\r\n"); });
+  CHECK(has(got, "503"));
+  CHECK(has(got, "Retry-After"));
+}
+
+TEST_CASE("A join goes out as SETUP and PLAY in one heap and its end comes back to the player") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a")));
+  const media::Message setUp = node.next(), play = node.next();
+  CHECK(setUp.method == "SETUP");
+  CHECK(play.method == "PLAY");
+  CHECK(setUp.header("Pipelined-Requests") == play.header("Pipelined-Requests"));
+  CHECK(setUp.header("Lupinsill-Ask") == "k");
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  CHECK(has(player.read([](const std::string& s) { return has(s, "ticket"); }), "playing"));
+  CHECK(has(d.page("/status"), "\"subscriptions\": 1"));
+  CHECK(has(d.page("/metrics"), "lupinsill_answers_total{answer=\"playing\"} 1"));
+  media::Message over;
+  over.method = "PLAY_NOTIFY";
+  over.uri = "*";
+  over.headers = {{"CSeq", "1"}, {"Session", "s1"}, {"Notify-Reason", "end-of-stream"}};
+  node.send(over);
+  CHECK(has(player.read([](const std::string& s) { return has(s, "ended"); }), "finished"));
+  CHECK(node.next().status == 200);
+}
+
+TEST_CASE("Garbage from a node ends its connection; what was written there may have run") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a", "paid-class")));
+  node.next();
+  ::send(node.fd, "HTTP/1.1 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
+  const std::string got = player.read([](const std::string& s) { return has(s, "}"); });
+  CHECK(has(got, "terminated"));
+  CHECK(has(got, "may-have-run"));
+}
+
+TEST_CASE("A paid join refused by its only node is throttled; REDIRECT from a node stops joins there") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a", "paid-class")));
+  const media::Message setUp = node.next();
+  node.next();
+  node.answer(setUp, 453);
+  CHECK(has(player.read([](const std::string& s) { return has(s, "}"); }), "throttled"));
+  media::Message redirect;
+  redirect.method = "REDIRECT";
+  redirect.uri = "*";
+  redirect.headers = {{"CSeq", "1"}};
+  node.send(redirect);
+  CHECK(node.next().status == 200);
+  CHECK(has(d.page("/nodes"), "draining"));
+}
+
+TEST_CASE("Settings that cannot be taken over are refused on reload, and the old ones stay") {
+  Director d;
+  std::ifstream in(d.folder + "/small.xml");
+  std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  text.replace(text.find("grace=\"2s\""), 10, "grace=\"3s\"");
+  std::ofstream(d.folder + "/small.xml") << text;
+  kill(d.pid, SIGHUP);
+  for (int i = 0; i < 100 && !has(d.log(), "reload-refused"); ++i) sleepMs(20);
+  CHECK(has(d.log(), "reload-refused needs a restart=rules"));
+  std::ofstream(d.folder + "/small.xml") << "<lupinsill";
+  kill(d.pid, SIGHUP);
+  for (int i = 0; i < 100 && !has(d.log(), "why="); ++i) sleepMs(20);
+  CHECK(has(d.page("/status"), "\"draining\": false"));
+}
+
+TEST_CASE("After a kill the director starts from its last list, though the list itself is gone") {
+  Node node;
+  Director d(node.entry());
+  for (int i = 0; i < 100 && !std::filesystem::exists(d.folder + "/small-nodes.kept.xml"); ++i) sleepMs(20);
+  CHECK(d.end(SIGKILL) == -SIGKILL);
+  std::filesystem::remove(d.folder + "/small-nodes.xml");
+  d.start();
+  CHECK(has(d.page("/nodes"), std::to_string(node.port)));
+  // A list cut off in the middle is refused, said so, and changes nothing.
+  std::ofstream(d.folder + "/small-nodes.xml")
+      << "<nodes xmlns=\"urn:lupinsill:nodes:1\" version=\"9\"><node id=";
+  for (int i = 0; i < 100 && !has(d.page("/status"), "complaint"); ++i) sleepMs(20);
+  CHECK(has(d.page("/status"), "complaint"));
+  CHECK(has(d.page("/nodes"), std::to_string(node.port)));
+}
+
+TEST_CASE("A drain refuses new asks at once, lets go on what plays, and then ends the process") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a")));
+  const media::Message setUp = node.next(), play = node.next();
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  player.read([](const std::string& s) { return has(s, "playing"); });
+  d.page("/drain", "POST");
+  player.send(Socket::frame(askText("b")));
+  const std::string no = player.read([](const std::string& s) { return has(s, "throttled"); });
+  CHECK(has(no, "draining"));
+  CHECK(has(no, "retryAfterMs"));
+  player.send(Socket::frame("{\"type\":\"leave\",\"id\":\"a\"}"));
+  CHECK(node.next().method == "TEARDOWN");
+  int status = 0;
+  waitpid(d.pid, &status, 0);
+  CHECK(WEXITSTATUS(status) == 0);
+  d.pid = 0;
+}
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,564 @@
+// The session core by itself: single troubles with a decider told what to say, then thousands of random
+// sequences with the module, in which an independent watcher holds the rules against every order.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "session/front.h"
+
+using namespace lupinsill;
+using namespace lupinsill::session;
+
+namespace {
+
+constexpr Micros ms = 1'000;
+constexpr Micros second = 1'000'000;
+
+Terms terms() {
+  Terms t;
+  RoomType clip, paid;
+  clip.joinObjective = second;
+  clip.top = 2;
+  paid.effect = Effect::once;
+  paid.joinObjective = 1500 * ms;
+  paid.benefit = 3;
+  paid.floor = 1;
+  paid.top = 2;
+  paid.seats = 3;
+  t.roomTypes = {clip, paid};
+  t.ladderKb = {100, 200, 400};
+  t.rungBenefit = {0.3, 0.6, 1};
+  t.placesByKind = {20};
+  t.cells = 4;
+  t.racks = 2;
+  t.maxJoins = 3;
+  t.weightKb = 4000;
+  t.allLinksKb = 16000;
+  t.rackKb = 6000;
+  t.startCapacity = 0.4;
+  t.overloadFactor = 3;
+  t.coldTime = 8 * second;
+  t.fallTime = 2 * second;
+  t.seenAfter = 500 * ms;
+  t.reportsEvery = 2 * second;
+  t.maxRetryAfter = 500 * ms;
+  t.retryAfter = true;
+  t.cancelling = true;
+  t.furtherJoins = FurtherJoins{5, 0.2, 5 * second};
+  return t;
+}
+
+Bounds bounds() { return {800 * ms, 200 * ms, 600 * ms, 3 * second, 60 * second, 1000, 1000, 1000, true}; }
+
+// Says what a test tells it to, and keeps what it was told.
+struct Scripted final : Decider {
+  std::vector<Action> next;
+  std::vector<Event> heard;
+  void handle(Micros, const std::vector<Event>& turn, std::vector<Action>& actions) override {
+    heard.insert(heard.end(), turn.begin(), turn.end());
+    actions.insert(actions.end(), next.begin(), next.end());
+    next.clear();
+  }
+};
+
+struct Stage {
+  Scripted* decider;
+  Front front;
+  Micros now = 10 * second;
+  std::vector<Order> orders;
+
+  explicit Stage(Bounds b = bounds()) : Stage(std::make_unique<Scripted>(), b) {}
+  Stage(std::unique_ptr<Scripted> made, Bounds b) : decider(made.get()), front(terms(), b, std::move(made)) {
+    ListTold list{ListKind::total, {}};
+    for (NodeId n = 1; n <= 4; ++n)
+      list.entries.push_back({n, NodeState::ready, 0, 1, static_cast<int>(n) - 1, 0, "a"});
+    front.told(list);
+    turn();
+  }
+  void turn(Micros later = 10 * ms) {
+    now += later;
+    orders.clear();
+    front.turn(now, orders);
+  }
+  void ask(Line line, const std::string& key, int room, const std::string& title = "t") {
+    front.ask({line, key, "viewer", title, room, -1, 0, 4, 2, 3 * second, std::nullopt});
+  }
+  template <class T>
+  const T* only() const {
+    const T* found = nullptr;
+    for (const Order& order : orders)
+      if (const T* one = std::get_if<T>(&order)) {
+        REQUIRE(found == nullptr);
+        found = one;
+      }
+    return found;
+  }
+  // An ask whose join is out at node 1.
+  JoinKey joinOut(Line line, const std::string& key, int room) {
+    ask(line, key, room);
+    decider->next = {SetRung{static_cast<SubId>(line), 1}, Join{static_cast<SubId>(line), 1, 0}};
+    turn();
+    const SetUp* setUp = only<SetUp>();
+    REQUIRE(setUp != nullptr);
+    return setUp->join;
+  }
+  std::uint64_t held(Rule rule) const { return front.figures().held[static_cast<std::size_t>(rule)]; }
+};
+
+}  // namespace
+
+TEST_CASE("A join that plays answers its ask once, and what ends it ends the subscription") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 0);
+  s.front.written(join);
+  s.front.began(join);
+  s.turn();
+  REQUIRE(s.only<Playing>() != nullptr);
+  CHECK(s.only<Playing>()->rung == 1);
+  s.front.began(join);  // an answer that comes twice
+  s.turn();
+  CHECK(s.orders.empty());
+  s.front.ended(join, Outcome::ok, {}, true);
+  s.turn();
+  REQUIRE(s.only<Ended>() != nullptr);
+  CHECK(s.only<Ended>()->why == WhyEnded::finished);
+  CHECK(s.front.figures().plays == 0);
+}
+
+TEST_CASE("An ask the decider forgets is answered by the core at its time") {
+  Stage s;
+  s.ask(1, "k", 0);
+  for (int i = 0; i < 30; ++i) {
+    s.turn(100 * ms);
+    if (s.only<Throttled>() != nullptr) break;
+  }
+  REQUIRE(s.only<Throttled>() != nullptr);
+  CHECK(s.now <= 10 * second + 3 * second);
+  CHECK(s.held(Rule::oneAnswer) == 1);
+}
+
+TEST_CASE("A second join while one is out is held back and told as never sent") {
+  Stage s;
+  s.joinOut(1, "k", 0);
+  s.decider->heard.clear();
+  s.decider->next = {Join{1, 2, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  CHECK(s.held(Rule::oneJoin) == 1);
+  const bool told = std::any_of(s.decider->heard.begin(), s.decider->heard.end(), [](const Event& e) {
+    const auto* ended = std::get_if<JoinEnded>(&e);
+    return ended != nullptr && ended->outcome == Outcome::moot && ended->node == 2;
+  });
+  CHECK(told);
+}
+
+TEST_CASE("A paid ask whose join may have run is neither sent again nor throttled") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 1);
+  s.front.written(join);
+  s.front.ended(join, Outcome::error, {});
+  s.decider->next = {Join{1, 2, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  CHECK(s.held(Rule::onceOnly) == 1);
+  s.decider->next = {Throttle{1, 0}};
+  s.turn();
+  CHECK(s.only<Throttled>() == nullptr);
+  REQUIRE(s.only<Terminated>() != nullptr);
+  CHECK(s.only<Terminated>()->why == WhyTerminated::mayHaveRun);
+}
+
+TEST_CASE("A paid ask refused by its node may be sent again and throttled") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 1);
+  s.front.written(join);
+  s.front.ended(join, Outcome::full, {});
+  s.decider->next = {Join{1, 2, 0}};
+  s.turn();
+  REQUIRE(s.only<SetUp>() != nullptr);
+  s.front.ended(s.only<SetUp>()->join, Outcome::connectFailed, {});
+  s.decider->next = {Throttle{1, 7}};
+  s.turn();
+  CHECK(s.only<Throttled>() != nullptr);
+  // Nothing of it ran: the same key may ask anew.
+  s.ask(2, "k", 1);
+  s.decider->next = {Join{2, 3, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>() != nullptr);
+}
+
+TEST_CASE("A join that was never written has not run, however long it waited") {
+  Stage s;
+  s.joinOut(1, "k", 1);
+  s.decider->heard.clear();
+  for (int i = 0; i < 32 && s.only<TearDown>() == nullptr; ++i) s.turn(100 * ms);
+  const auto* ended = std::get_if<JoinEnded>(&s.decider->heard.front());
+  REQUIRE(ended != nullptr);
+  CHECK(ended->outcome == Outcome::connectFailed);
+}
+
+TEST_CASE("The word of a drain calls back a join that waits for its connection") {
+  Stage s;
+  const JoinKey waits = s.joinOut(1, "k", 0);
+  const JoinKey left = s.joinOut(2, "l", 0);
+  s.front.written(left);
+  s.front.told({ListKind::changes, {{1, NodeState::draining, 0, 1, 0, 0, "a"}}});
+  s.turn();
+  REQUIRE(s.only<Withdraw>() != nullptr);
+  CHECK(s.only<Withdraw>()->join == waits);
+  s.front.ended(waits, Outcome::moot, {});
+  s.decider->next = {Join{1, 2, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>()->node == 2);
+}
+
+TEST_CASE("Nothing goes to a draining node after the grace, whatever the decider says") {
+  Stage s;
+  s.front.told({ListKind::changes, {{1, NodeState::draining, 0, 1, 0, 0, "a"}}});
+  s.turn();
+  s.turn(500 * ms);
+  s.front.told({ListKind::changes, {{1, NodeState::draining, 0, 1, 0, 0, "a"}}});  // said twice: no new grace
+  s.turn(400 * ms);
+  s.ask(1, "k", 0);
+  s.decider->next = {Join{1, 1, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  CHECK(s.held(Rule::drain) == 1);
+}
+
+TEST_CASE("Seats, floors, budgets and the cold pace are kept below the decider") {
+  Stage s;
+  SECTION("seats") {
+    for (Line line = 1; line <= 4; ++line) {
+      s.ask(line, "k" + std::to_string(line), 1);
+      s.decider->next = {Join{line, 1, 0}};
+      s.turn();
+    }
+    CHECK(s.held(Rule::seats) == 1);
+  }
+  SECTION("floor") {
+    s.ask(1, "k", 1);
+    s.decider->next = {SetRung{1, 0}, Join{1, 1, 0}};
+    s.turn();
+    REQUIRE(s.only<SetUp>() != nullptr);
+    CHECK(s.only<SetUp>()->rung == 1);
+    CHECK(s.held(Rule::floor) == 1);
+  }
+  SECTION("further joins") {
+    for (Line line = 1; line <= 8; ++line) {
+      const JoinKey join = s.joinOut(line, "k", 0);
+      s.front.ended(join, Outcome::full, {});
+      s.decider->next = {Join{line, 2, 0}};
+      s.turn();
+    }
+    // Eight asks allow five and a fifth of eight.
+    CHECK(s.held(Rule::further) == 2);
+  }
+  SECTION("cold") {
+    s.front.told({ListKind::changes, {{1, NodeState::ready, 0, 1, 0, s.now, "a"}}});
+    for (Line line = 1; line <= 10; ++line) {
+      s.ask(line, "k", 0);
+      s.decider->next = {Join{line, 1, 0}};
+      s.turn(1 * ms);
+    }
+    // 20 places over 8 s, at 0.4 of them, three times over, for 2 s: six.
+    CHECK(s.held(Rule::cold) == 4);
+  }
+}
+
+TEST_CASE("A paid player whose socket closes in the middle of its join finds it again by its key") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 1);
+  s.front.written(join);
+  s.front.closed(1);
+  s.turn();
+  CHECK(s.orders.empty());
+  SECTION("while it is out") {
+    s.ask(2, "k", 1);
+    s.turn();
+    CHECK(s.only<SetUp>() == nullptr);
+    SECTION("and it plays") {
+      s.front.began(join);
+      s.turn();
+      REQUIRE(s.only<Playing>() != nullptr);
+      CHECK(s.only<Playing>()->line == 2);
+    }
+    SECTION("and it fails: who came back is owed an answer") {
+      s.front.ended(join, Outcome::error, {});
+      s.decider->next = {Terminate{1}};
+      s.turn();
+      REQUIRE(s.only<Terminated>() != nullptr);
+      CHECK(s.only<Terminated>()->line == 2);
+    }
+    SECTION("and the decider forgets it: the core answers") {
+      s.front.ended(join, Outcome::error, {});
+      for (int i = 0; i < 40 && s.only<Terminated>() == nullptr; ++i) s.turn(100 * ms);
+      CHECK(s.only<Terminated>() != nullptr);
+    }
+  }
+  SECTION("when it plays already") {
+    s.front.began(join);
+    s.turn();
+    CHECK(s.orders.empty());
+    s.ask(2, "k", 1);
+    s.turn();
+    REQUIRE(s.only<Playing>() != nullptr);
+  }
+  SECTION("when it failed: the answer is the first one's, and nothing is set up") {
+    s.front.ended(join, Outcome::reset, {});
+    s.turn();
+    s.ask(2, "k", 1);
+    s.turn();
+    CHECK(s.only<SetUp>() == nullptr);
+    REQUIRE(s.only<Terminated>() != nullptr);
+    CHECK(s.only<Terminated>()->why == WhyTerminated::mayHaveRun);
+  }
+  SECTION("when nobody comes back it is taken down") {
+    s.front.began(join);
+    int downs = 0;
+    for (int i = 0; i < 40; ++i) {
+      s.turn(100 * ms);
+      if (s.only<TearDown>() != nullptr) ++downs;
+    }
+    CHECK(downs == 1);
+    CHECK(s.front.figures().plays == 0);
+  }
+}
+
+TEST_CASE("The same paid ask twice at once has one join and an answer for each") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 1);
+  s.ask(2, "k", 1);
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  s.front.written(join);
+  s.front.began(join);
+  s.turn();
+  CHECK(s.orders.size() == 2);
+  CHECK(s.front.figures().repeated == 1);
+}
+
+TEST_CASE("After a standstill an ask is as old as the standstill") {
+  Stage s;
+  SECTION("too old to be answered in time by a join") {
+    s.ask(1, "k", 0);
+    s.turn(2900 * ms);
+    REQUIRE(s.only<Throttled>() != nullptr);
+    CHECK(s.only<Throttled>()->why == WhyThrottled::late);
+  }
+  SECTION("still in time: the decider is told of less") {
+    s.ask(1, "k", 0);
+    s.turn(1000 * ms);
+    const auto* request = std::get_if<Requested>(&s.decider->heard.back());
+    REQUIRE(request != nullptr);
+    CHECK(request->viewing.giveUpAt == s.now + 3 * second - 200 * ms - 1000 * ms);
+  }
+}
+
+TEST_CASE("Answers read after a standstill count before time-outs are drawn from their absence") {
+  Stage s;
+  const JoinKey join = s.joinOut(1, "k", 1);
+  s.front.written(join);
+  s.front.began(join);
+  s.turn(2750 * ms);
+  CHECK(s.only<Playing>() != nullptr);
+}
+
+TEST_CASE("What is over a bound or comes in a drain is refused at once with a time to come back") {
+  Bounds b = bounds();
+  b.openMost = 2;
+  Stage s(std::make_unique<Scripted>(), b);
+  s.ask(1, "k", 0);
+  s.ask(2, "l", 0);
+  s.ask(3, "m", 0);
+  s.turn();
+  REQUIRE(s.only<Throttled>() != nullptr);
+  CHECK(s.only<Throttled>()->why == WhyThrottled::busy);
+  CHECK(s.only<Throttled>()->retryAfter > 0);
+  s.front.drain(true);
+  s.ask(4, "n", 0);
+  s.turn();
+  CHECK(s.only<Throttled>()->why == WhyThrottled::draining);
+}
+
+TEST_CASE("At its end a director answers and tears down all it holds") {
+  Stage s;
+  const JoinKey playing = s.joinOut(1, "a", 0);
+  s.front.written(playing);
+  s.front.began(playing);
+  const JoinKey paid = s.joinOut(2, "b", 1);
+  s.front.written(paid);
+  s.ask(3, "c", 0);
+  s.turn();
+  s.front.endAll();
+  s.turn();
+  CHECK(s.only<Ended>()->line == 1);
+  CHECK(s.only<Terminated>()->line == 2);
+  CHECK(s.only<Throttled>()->line == 3);
+  const auto downs = std::count_if(s.orders.begin(), s.orders.end(),
+                                   [](const Order& o) { return std::holds_alternative<TearDown>(o); });
+  CHECK(downs == 2);
+  CHECK(s.front.figures().open == 0);
+}
+
+namespace {
+
+// Holds the rules against orders without asking the front anything.
+struct Watcher {
+  struct Out {
+    NodeId node;
+    std::string key, title;
+    int room;
+    bool written = false, over = false;
+  };
+  std::map<Line, Micros> asked;
+  std::map<Line, std::string> keyOf;
+  std::map<Line, int> roomOf;
+  std::map<Line, int> answers;
+  std::map<JoinKey, Out> joins;
+  std::map<std::string, int> mayHaveRun;  // by the key of a paid ask
+  std::map<NodeId, Micros> drained;
+  std::vector<std::string> broken;
+  Micros lastTurn = 0;
+
+  void see(Micros now, const std::vector<Order>& orders) {
+    for (const Order& order : orders) {
+      if (const auto* p = std::get_if<Playing>(&order)) answer(now, p->line, false);
+      if (const auto* t = std::get_if<Throttled>(&order)) answer(now, t->line, true);
+      if (const auto* t = std::get_if<Terminated>(&order)) answer(now, t->line, false);
+      if (const auto* down = std::get_if<TearDown>(&order)) joins[down->join].over = true;
+      if (const auto* up = std::get_if<SetUp>(&order)) setUp(now, *up);
+    }
+    lastTurn = now;
+  }
+  void answer(Micros now, Line line, bool throttled) {
+    if (++answers[line] > 1) broken.push_back("two answers");
+    // A director that stood still over the client timeout answers at its first turn after.
+    if (now > asked[line] + 3 * second && lastTurn > asked[line] + 2800 * ms) broken.push_back("late");
+    if (throttled && roomOf[line] == 1 && mayHaveRun[keyOf[line]] > 0)
+      broken.push_back("throttled after a run: line " + std::to_string(line) + " key " + keyOf[line]);
+  }
+  void setUp(Micros now, const SetUp& up) {
+    int seats = up.roomType == 1 ? 1 : 0;
+    for (const auto& [key, out] : joins) {
+      if (out.over) continue;
+      if (out.key == up.askKey && out.room == up.roomType) broken.push_back("two joins out");
+      if (out.room == 1 && up.roomType == 1 && out.title == up.title) ++seats;
+    }
+    if (seats > 3) broken.push_back("seats");
+    if (up.roomType == 1 && up.rung < 1) broken.push_back("floor");
+    if (up.roomType == 1 && mayHaveRun[up.askKey] > 0) broken.push_back("set up twice");
+    if (const auto it = drained.find(up.node); it != drained.end() && now > it->second + 800 * ms)
+      broken.push_back("drain");
+    joins[up.join] = {up.node, up.askKey, up.title, up.roomType};
+  }
+};
+
+}  // namespace
+
+TEST_CASE("Thousands of random sequences with the module keep the rules") {
+  std::size_t answered = 0, setUps = 0;
+  for (unsigned seed = 1; seed <= 600; ++seed) {
+    std::minstd_rand chance(seed);
+    const auto below = [&](unsigned n) { return static_cast<int>(chance() / 7 % n); };
+    Front front(terms(), bounds(), std::make_unique<ByControl>(terms(), seed));
+    Watcher watcher;
+    Micros now = 5 * second;
+    std::vector<Order> orders;
+    Line line = 0;
+    ListTold list{ListKind::total, {}};
+    for (NodeId n = 1; n <= 4; ++n)
+      list.entries.push_back(
+          {n, NodeState::ready, 0, 1, static_cast<int>(n) - 1, below(3) == 0 ? now : 0, "a"});
+    front.told(list);
+    const auto turn = [&] {
+      orders.clear();
+      front.turn(now, orders);
+      watcher.see(now, orders);
+      for (const Order& order : orders) {
+        const auto* up = std::get_if<SetUp>(&order);
+        // Most connections stand already; some joins wait, and some nodes are out of reach.
+        if (up != nullptr && below(5) != 0) front.written(up->join), watcher.joins[up->join].written = true;
+      }
+    };
+    turn();
+    for (int step = 0; step < 120; ++step) {
+      now += below(40) == 0 ? below(1500) * ms : below(60) * ms;
+      const int what = below(10);
+      if (what <= 3) {
+        const int room = below(2);
+        const bool again = below(4) == 0 && line > 0;
+        Ask ask;
+        ask.line = ++line;
+        ask.askKey =
+            "k" + std::to_string(again ? 1 + below(static_cast<unsigned>(line)) : static_cast<int>(line));
+        ask.viewer = "v";
+        ask.title = "t";
+        ask.roomType = again && watcher.roomOf.count(std::stoull(ask.askKey.substr(1))) != 0
+                           ? watcher.roomOf[std::stoull(ask.askKey.substr(1))]
+                           : room;
+        if (again && ask.roomType == 0) ask.askKey = "k" + std::to_string(line);  // safe asks are not joined
+        ask.holders = 4;
+        ask.top = 2;
+        ask.timeout = 3 * second;
+        watcher.asked[line] = now;
+        watcher.keyOf[line] = ask.askKey;
+        watcher.roomOf[line] = ask.roomType;
+        front.ask(ask);
+      } else if (what <= 7 && !watcher.joins.empty()) {
+        auto it = watcher.joins.begin();
+        std::advance(it, below(static_cast<unsigned>(watcher.joins.size())));
+        if (it->second.over) continue;
+        constexpr Outcome kinds[] = {Outcome::error, Outcome::full, Outcome::reset};
+        if (!it->second.written) {
+          front.ended(it->first, Outcome::connectFailed, {});
+          it->second.over = true;
+        } else if (what <= 6) {
+          front.began(it->first);
+          ++watcher.mayHaveRun[it->second.key];
+        } else {
+          const Outcome outcome = kinds[below(3)];
+          if (outcome != Outcome::full) ++watcher.mayHaveRun[it->second.key];
+          front.ended(it->first, outcome, {});
+          it->second.over = true;
+        }
+      } else if (what == 8 && line > 0) {
+        const Line one = 1 + static_cast<Line>(below(static_cast<unsigned>(line)));
+        if (below(2) == 0)
+          front.closed(one);
+        else
+          front.leave(one);
+        if (watcher.answers[one] == 0) watcher.answers[one] = 1;  // it hears no answer any more
+        watcher.asked[one] = now + 3600 * second;
+        if (watcher.answers[one] == 1) watcher.answers[one] = 0;
+      } else if (what == 9 && below(6) == 0) {
+        const auto node = static_cast<NodeId>(1 + below(4));
+        front.told(
+            {ListKind::changes, {{node, NodeState::draining, 0, 1, static_cast<int>(node) - 1, 0, "a"}}});
+        watcher.drained.try_emplace(node, now);
+      }
+      // A join that timed out may have run.
+      turn();
+      for (const Order& order : orders)
+        if (const auto* down = std::get_if<TearDown>(&order))
+          if (watcher.joins[down->join].written) ++watcher.mayHaveRun[watcher.joins[down->join].key];
+    }
+    std::set<Line> gone;
+    for (int i = 0; i < 40; ++i) {
+      now += 100 * ms;
+      turn();
+    }
+    INFO("seed " << seed);
+    if (!watcher.broken.empty()) FAIL(watcher.broken.front());
+    for (const auto& [one, at] : watcher.asked)
+      if (at <= now) CHECK(watcher.answers[one] == 1);
+    CHECK(front.figures().open == 0);
+    CHECK(front.figures().held[static_cast<std::size_t>(Rule::oneAnswer)] == 0);
+    answered += watcher.answers.size();
+    setUps += watcher.joins.size();
+  }
+  CHECK(answered > 20'000);
+  CHECK(setUps > 4'000);
+}
--- /dev/null
+++ b/tests/heart_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "fleet/membership.h"
+
+using namespace lupinsill;
+using namespace lupinsill::fleet;
+
+namespace {
+
+Word word(std::uint64_t version, std::vector<NodeId> nodes) {
+  Word w;
+  w.version = version;
+  for (const NodeId n : nodes) {
+    Box box;
+    box.node = n;
+    box.host = "127.0.0.1";
+    box.port = static_cast<int>(9000 + n);
+    box.cell = static_cast<int>(n) - 1;
+    w.boxes.push_back(box);
+  }
+  return w;
+}
+
+NodeState stateIn(const ListTold& told, NodeId node) {
+  const auto it = std::find_if(told.entries.begin(), told.entries.end(),
+                               [&](const ListEntry& e) { return e.node == node; });
+  REQUIRE(it != told.entries.end());
+  return it->state;
+}
+
+}  // namespace
+
+TEST_CASE("Words out of order and words said twice change nothing") {
+  Membership m(8, 0.5);
+  ListTold told;
+  CHECK(m.apply(word(3, {1, 2, 3, 4}), told) == Taken::applied);
+  CHECK(told.kind == ListKind::total);
+  CHECK(m.apply(word(2, {1}), told) == Taken::older);
+  CHECK(m.apply(word(3, {1}), told) == Taken::same);
+  CHECK(m.boxes().size() == 4);
+  CHECK(m.apply(word(4, {1, 2, 3}), told) == Taken::applied);
+  CHECK(told.kind == ListKind::changes);
+  CHECK(told.entries.size() == 1);
+  CHECK(stateIn(told, 4) == NodeState::gone);
+}
+
+TEST_CASE(
+    "The list of before a restart is a warm copy, and the next word is whole though its number is old") {
+  Membership m(8, 0.5);
+  CHECK(m.startFrom(word(7, {1, 2})).kind == ListKind::warmCopy);
+  ListTold told;
+  CHECK(m.apply(word(7, {1, 2, 3}), told) == Taken::applied);
+  CHECK(told.kind == ListKind::total);
+  CHECK(told.entries.size() == 3);
+  CHECK(m.apply(word(6, {1}), told) == Taken::older);
+}
+
+TEST_CASE("A list that lost most of its entries is held back until it is confirmed") {
+  Membership m(8, 0.5);
+  ListTold told;
+  m.apply(word(1, {1, 2, 3, 4}), told);
+  SECTION("and may prove to have been a slip") {
+    CHECK(m.apply(word(2, {1}), told) == Taken::tooMuchGone);
+    CHECK(told.entries.empty());
+    CHECK(m.find(3) != nullptr);
+    CHECK(m.apply(word(3, {1, 2, 3, 4}), told) == Taken::applied);
+    CHECK(m.confirm().entries.empty());
+    CHECK(m.find(3) != nullptr);
+  }
+  SECTION("or to be meant") {
+    m.apply(word(2, {1}), told);
+    CHECK(m.confirm().entries.size() == 3);
+    CHECK(m.find(3) == nullptr);
+  }
+  SECTION("while what it says aloud holds at once") {
+    Word w = word(2, {1, 2, 3, 4});
+    for (Box& box : w.boxes) box.state = NodeState::draining;
+    CHECK(m.apply(w, told) == Taken::applied);
+    CHECK(told.entries.size() == 4);
+  }
+}
+
+TEST_CASE("A node's own word that it drains outlives lists that know nothing of it") {
+  Membership m(8, 0.5);
+  ListTold told;
+  m.apply(word(1, {1, 2}), told);
+  CHECK(stateIn(m.drains(1), 1) == NodeState::draining);
+  CHECK(m.drains(1).entries.empty());
+  m.apply(word(2, {1, 2, 3}), told);
+  CHECK(m.find(1)->state == NodeState::draining);
+  Word again = word(3, {1, 2, 3});
+  again.boxes[0].readyAt = 50;
+  m.apply(again, told);
+  CHECK(stateIn(told, 1) == NodeState::ready);
+}
+
+TEST_CASE("Titles: those not named are everywhere unless the list says nowhere") {
+  Membership m(8, 0.5);
+  ListTold told;
+  Word w = word(1, {1});
+  w.titles["a"] = {3, 2};
+  m.apply(w, told);
+  CHECK(m.where("a").firstCell == 3);
+  CHECK(m.where("b").holders == 8);
+  w.version = 2;
+  w.otherTitlesEverywhere = false;
+  m.apply(w, told);
+  CHECK(m.where("b").holders == 0);
+}
