--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 #include "baseline/baseline.h"
 #include "director/admin.h"
 #include "director/director.h"
+#include "lab/import.h"
 #include "lab/plant.h"
 #include "lab/run.h"
 #include "settings/deployment.h"
@@ -114,6 +115,13 @@
   CLI::App* plants = labs->add_subcommand("plants", "List the faults that can be planted");
   plants->footer("Example: lupinsill lab plants");
 
+  std::string benchDay, into;
+  CLI::App* import = labs->add_subcommand("import", "Make a day of the lab with the troubles of a bench day");
+  import->add_option("day", benchDay, "Day file of the operators' bench (JSON)")->required();
+  import->add_option("--out", into, "Folder for day.xml and settings.xml")->required();
+  import->footer(
+      "Example: lupinsill lab import day.json --out /tmp/day && lupinsill lab run /tmp/day/day.xml");
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -150,6 +158,10 @@
       for (const lab::Plant& p : lab::plants()) std::printf("%s\n", p.name);
       return 0;
     }
+    if (import->parsed()) {
+      std::fputs(lab::importDay(benchDay, into).c_str(), stdout);
+      return 0;
+    }
     if (day->parsed()) {
       if (!options.plant.empty() && lab::findPlant(options.plant) == nullptr)
         return complain(wrong, "--plant " + options.plant + ": see `lupinsill lab plants`");
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -11,10 +11,10 @@
 namespace lupinsill::lab {
 namespace {
 
-constexpr std::array names{"answers-lost", "hang",    "fast-errors",   "slow",          "link-cut",
-                           "uplink-cut",   "drain",   "kill",          "wave",          "list-stale",
-                           "crowd",        "burst",   "director-kill", "director-roll", "director-stop",
-                           "closers",      "repeats", "mute",          "garbage"};
+constexpr std::array names{"answers-lost",  "hang",    "fast-errors", "slow",          "link-cut",
+                           "uplink-cut",    "drain",   "kill",        "wave",          "list-stale",
+                           "reports-late",  "crowd",   "burst",       "director-kill", "director-roll",
+                           "director-stop", "closers", "repeats",     "mute",          "garbage"};
 
 Micros span(const settings::Element& e, const char* name) { return settings::durationOf(e.text(name)); }
 double real(const settings::Element& e, const char* name) {
@@ -71,16 +71,6 @@
   return day;
 }
 
-std::vector<std::size_t> Chance::some(std::size_t of, std::size_t n) {
-  std::vector<std::size_t> all(of);
-  for (std::size_t i = 0; i < of; ++i) all[i] = i;
-  n = std::min(n, of);
-  for (std::size_t i = 0; i < n; ++i) std::swap(all[i], all[i + below(of - i)]);
-  all.resize(n);
-  std::sort(all.begin(), all.end());
-  return all;
-}
-
 std::vector<Arrival> drawArrivals(const Day& day, std::uint64_t seed) {
   Chance chance(seed, 1);
   std::vector<double> titleWeight;
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -4,15 +4,17 @@
 #pragma once
 
 #include <cstdint>
-#include <random>
 #include <string>
 #include <vector>
 
+#include "model/chance.h"
 #include "settings/deployment.h"
 #include "settings/xml.h"
 
 namespace lupinsill::lab {
 
+using model::Chance;
+
 enum class Kind {
   answersLost,
   hang,
@@ -24,6 +26,7 @@
   kill,
   wave,
   listStale,
+  reportsLate,
   crowd,
   burst,
   directorKill,
@@ -66,26 +69,7 @@
 };
 
 Day readDay(const std::string& file);
-const char* nameOf(Kind kind);
-
-// The lab's chance, apart from the decisions': one stream for each purpose, so that a change of one does not
-// shift the others.
-class Chance {
- public:
-  Chance(std::uint64_t seed, std::uint64_t purpose) : bits_(seed * 0x9e3779b97f4a7c15ULL + purpose) {}
-  double unit() { return static_cast<double>(bits_() >> 11) * 0x1.0p-53; }
-  double between(double least, double most) { return least + (most - least) * unit(); }
-  Micros span(Micros least, Micros most) {
-    return least + static_cast<Micros>(unit() * static_cast<double>(most - least));
-  }
-  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)) % n; }
-  bool comes(double share) { return unit() < share; }
-  // `n` of `of` places, without repeats, in rising order.
-  std::vector<std::size_t> some(std::size_t of, std::size_t n);
-
- private:
-  std::mt19937_64 bits_;
-};
+const char* nameOf(Kind kind);  // as the schema words it
 
 enum class Manner { plain, closer, repeater, mute, garbage };
 
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -42,7 +42,7 @@
       : options_(options),
         day_(readDay(options.dayFile)),
         base_(event_base_new()),
-        world_(day_, options.seed),
+        world_(day_.deployment.terms, {day_.linkKb, day_.spread, day_.titles}, options.seed),
         chance_(options.seed, 4),
         folder_(std::move(folder)),
         processes_(day_, folder_, arguments(options)) {
@@ -80,7 +80,7 @@
   Day day_;
   net::Base base_;
   audit::Record record_;
-  World world_;
+  model::World world_;
   Stage stage_;
   Chance chance_;
   std::string folder_;
@@ -254,6 +254,10 @@
     case Kind::listStale:
       later(t.at, [this, end] { staleUntil_ = end; });
       return;
+    case Kind::reportsLate:
+      later(t.at, [this, much = t.much] { stage_.laterBy = static_cast<Micros>(much * second); });
+      later(end, [this] { stage_.laterBy = 0; });
+      return;
     case Kind::directorKill:
     case Kind::directorRoll: {
       const auto all = static_cast<std::size_t>(day_.directors);
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -250,7 +250,7 @@
 }
 
 LoadReport StandIn::report(Micros late) const {
-  const NodeLoad load = stage_.world->load(node, late);
+  const model::NodeLoad load = stage_.world->load(node, late + stage_.laterBy);
   LoadReport told;
   told.linkUse = load.link;
   if (stage_.day->deployment.terms.uplinksReported) told.uplinkUse = load.uplink;
@@ -289,7 +289,7 @@
   const bool second = now - notedAt_ >= 1'000'000;
   const bool full = t.reportsEvery > 0 && now - reportedAt_ >= t.reportsEvery;
   if (!second && !full) return;
-  const double delivered = stage_.world->load(node, t.seenAfter).delivered;
+  const double delivered = stage_.world->load(node, t.seenAfter + stage_.laterBy).delivered;
   const bool shortNow = delivered < 0.98;
   for (auto& connection : connections_) {
     if (connection->dead) continue;
--- a/src/lab/stand_in.h
+++ b/src/lab/stand_in.h
@@ -9,8 +9,9 @@
 #include <vector>
 
 #include "audit/record.h"
-#include "lab/world.h"
+#include "lab/day.h"
 #include "media/rtsp.h"
+#include "model/world.h"
 #include "net/handles.h"
 
 namespace lupinsill::lab {
@@ -27,9 +28,10 @@
 struct Stage {
   event_base* base = nullptr;
   const Day* day = nullptr;
-  World* world = nullptr;
+  model::World* world = nullptr;
   audit::Record* record = nullptr;
-  Micros zero = 0;  // the day's start on the monotonic clock
+  Micros zero = 0;     // the day's start on the monotonic clock
+  Micros laterBy = 0;  // notes and reports, while they come late
   std::function<Micros(const std::string& viewer)> lengthLeft;
   std::function<bool(const std::string& viewer, int roomType)> inTime;  // its join met the objective
   Micros now() const { return net::monotonicNow() - zero; }
@@ -70,7 +72,7 @@
     Micros until = 0;
     bool ran = false;
     bool ended = false;
-    Stream stream = 0;
+    model::Stream stream = 0;
   };
   static void onAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* me);
   static void onRead(bufferevent*, void* me);
@@ -91,7 +93,7 @@
   LoadReport report(Micros late) const;
 
   Stage& stage_;
-  Chance chance_;
+  model::Chance chance_;
   net::Listener listener_;
   int port_ = 0;
   bool dead_ = false;
--- a/src/lab/world.cpp
+++ b/src/model/world.cpp
@@ -1,18 +1,19 @@
-#include "lab/world.h"
+#include "model/world.h"
 
 #include <algorithm>
 
-namespace lupinsill::lab {
+namespace lupinsill::model {
 namespace {
 constexpr Micros pastKept = 6'000'000;
 }
 
-World::World(const Day& day, std::uint64_t seed) : day_(day), chance_(seed, 2) {
-  for (int rack = 0; rack < std::max(1, day.deployment.terms.racks); ++rack) {
-    uplinkFactor_[rack] = 1 + chance_.between(-day.spread, day.spread);
+World::World(const Terms& terms, const LinkPlan& plan, std::uint64_t seed)
+    : terms_(terms), plan_(plan), chance_(seed, 2) {
+  for (int rack = 0; rack < std::max(1, terms.racks); ++rack) {
+    uplinkFactor_[rack] = 1 + chance_.between(-plan.spread, plan.spread);
     uplinkCut_[rack] = 1;
   }
-  for (int title = 0; title < day.titles; ++title) titleFactor_[title] = 1 + chance_.between(-0.15, 0.15);
+  for (int title = 0; title < plan.titles; ++title) titleFactor_[title] = 1 + chance_.between(-0.15, 0.15);
 }
 
 void World::addNode(NodeId node, int cell, Micros startedAt, bool coldStart) {
@@ -20,7 +21,7 @@
   n.cell = cell;
   n.startedAt = startedAt;
   n.coldStart = coldStart;
-  n.factor = 1 + chance_.between(-day_.spread, day_.spread) / 2;
+  n.factor = 1 + chance_.between(-plan_.spread, plan_.spread) / 2;
 }
 
 void World::removeNode(NodeId node) {
@@ -30,7 +31,7 @@
 
 double World::warmth(NodeId node, Micros now) const {
   const Node& n = nodes_.at(node);
-  const Terms& t = day_.deployment.terms;
+  const Terms& t = terms_;
   if (!n.coldStart) return 1;
   const double age = static_cast<double>(now - n.startedAt) / static_cast<double>(t.coldTime);
   return t.startCapacity + (1 - t.startCapacity) * std::clamp(age, 0.0, 1.0);
@@ -46,7 +47,7 @@
 void World::setRung(Stream stream, int rung) {
   const auto it = streams_.find(stream);
   if (it == streams_.end() || it->second.rung == rung) return;
-  const Terms& t = day_.deployment.terms;
+  const Terms& t = terms_;
   const RoomType& room = t.roomTypes[static_cast<std::size_t>(it->second.roomType)];
   it->second.rung = rung;
   ++rungSteps_;
@@ -68,7 +69,7 @@
 void World::step(Micros now) {
   const double seconds = last_ == 0 ? 0 : static_cast<double>(now - last_) / 1e6;
   last_ = now;
-  const Terms& t = day_.deployment.terms;
+  const Terms& t = terms_;
   const int racks = std::max(1, t.racks);
   std::map<NodeId, double> asked;
   std::map<int, double> rackAsked;
@@ -81,7 +82,7 @@
   std::map<NodeId, double> share;
   for (auto& [id, n] : nodes_) {
     const int rack = n.cell % racks;
-    const double link = day_.linkKb * n.factor * warmth(id, now) / n.cut;
+    const double link = plan_.linkKb * n.factor * warmth(id, now) / n.cut;
     const double uplink = t.rackKb > 0 ? t.rackKb * uplinkFactor_[rack] / uplinkCut_[rack] : 1e18;
     NodeLoad load{asked[id] / link, rackAsked[rack] / uplink, 1};
     share[id] = n.stalled ? 0 : std::min(1.0, 1 / std::max({1e-9, load.link, load.uplink}));
@@ -111,4 +112,4 @@
   return past.front().second;
 }
 
-}  // namespace lupinsill::lab
+}  // namespace lupinsill::model
--- a/src/lab/world.h
+++ b/src/model/world.h
@@ -1,6 +1,6 @@
-// The links the lab's stand-in nodes share: racks, uplinks, equal cuts, warm-up, and what it earns. Simulated
-// on the real clock in short steps; nothing here is a measurement of a real machine. Whole microseconds, kB a
-// second. Not to be moved while stand-ins hold it.
+// The links that media nodes share: racks, uplinks, equal cuts, warm-up, and the benefit that streams earn on
+// them. Simulated in short steps on a clock that is handed in; nothing here is a measurement of a real
+// machine. Whole microseconds, kB a second. Not to be moved while stand-ins hold it.
 #pragma once
 
 #include <cstdint>
@@ -8,9 +8,10 @@
 #include <map>
 #include <vector>
 
-#include "lab/day.h"
+#include "control.h"
+#include "model/chance.h"
 
-namespace lupinsill::lab {
+namespace lupinsill::model {
 
 using Stream = std::uint64_t;
 
@@ -20,9 +21,16 @@
   double delivered = 1;  // share of the rates
 };
 
+// What a fleet's links are like, beside what the deployment's terms state.
+struct LinkPlan {
+  double linkKb = 0;  // the mean link of a warm node
+  double spread = 0;  // of links and uplinks about their means
+  int titles = 0;
+};
+
 class World {
  public:
-  World(const Day& day, std::uint64_t seed);
+  World(const Terms& terms, const LinkPlan& plan, std::uint64_t seed);
 
   void addNode(NodeId node, int cell, Micros startedAt, bool coldStart);
   void removeNode(NodeId node);
@@ -61,7 +69,8 @@
     double factor;  // of its title's rate
     bool earns;
   };
-  const Day& day_;
+  Terms terms_;
+  LinkPlan plan_;
   Chance chance_;
   std::map<NodeId, Node> nodes_;
   std::map<Stream, Playing> streams_;
@@ -74,4 +83,4 @@
   double playedSeconds_ = 0;
 };
 
-}  // namespace lupinsill::lab
+}  // namespace lupinsill::model
