The C++ client library over WebSocket, on the core that decides every retry

Need: an app should ask and hear, and have no retry loop to get wrong. Change: client/websocket carries out the core's acts over one socket a try, names the director it asked before, and tells one result and one end. Result: a paid ask whose director is killed between request and reply is answered may-have-run by the next run and its node sees one SETUP; a dead director costs one try; nobody there is told before the timeout.

--- /dev/null
+++ b/client/websocket/session_client.cpp
@@ -0,0 +1,226 @@
+#include "websocket/session_client.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "websocket/handshake.h"
+
+namespace lupinsill::client {
+namespace {
+constexpr Micros tickMost = 50'000;
+}
+
+struct SessionClient::Wished {
+  Want want;
+  std::string key;
+  std::string sentTo;  // the name of the director that may have taken it
+  Heard last;
+  TryId plays = 0;
+  bool over = false;
+  OnResult onResult;
+  OnEnd onEnd;
+  OnRung onRung;
+};
+
+struct SessionClient::Line final : websocket::Channel::Ear {
+  SessionClient* owner = nullptr;
+  TryId attempt = 0;
+  WishId wish = 0;
+  bool asked = false;
+  bool dropped = false;
+  std::unique_ptr<websocket::Channel> channel;
+  void onOpen(websocket::Channel&) override {}  // the director speaks first
+  void onText(websocket::Channel&, std::string_view text) override { owner->heard(*this, text); }
+  void onClosed(websocket::Channel&, int) override { owner->closed(*this); }
+};
+
+SessionClient::SessionClient(event_base* base, std::vector<DirectorAt> directors, Manners manners,
+                             std::uint64_t seed)
+    : base_(base), directors_(directors), core_(std::move(directors), std::move(manners), seed) {
+  timer_.reset(event_new(base, -1, 0, onTimer, this));
+}
+SessionClient::~SessionClient() = default;
+
+WishId SessionClient::ask(const Want& want, OnResult onResult, OnEnd onEnd, OnRung onRung) {
+  const WishId id = ++next_;
+  auto wished = std::make_unique<Wished>();
+  wished->want = want;
+  // Nobody else may ever have used it: a key that meets another one's is answered from theirs.
+  wished->key = websocket::freshKey();
+  wished->onResult = std::move(onResult);
+  wished->onEnd = std::move(onEnd);
+  wished->onRung = std::move(onRung);
+  const std::string key = wished->key;
+  wishes_.emplace(id, std::move(wished));
+  core_.want(net::monotonicNow(), {id, key, want.unsafe, want.timeout}, acts_);
+  arm();
+  return id;
+}
+
+void SessionClient::leave(WishId wish) {
+  const auto it = wishes_.find(wish);
+  if (it == wishes_.end()) return;
+  Wished& wished = *it->second;
+  if (wished.plays != 0) {
+    if (const auto line = lines_.find(wished.plays); line != lines_.end() && line->second->channel)
+      line->second->channel->sendText(websocket::textOf(websocket::LeaveMessage{"a"}));
+    wished.over = true;
+    wishes_.erase(it);
+    return arm();
+  }
+  core_.cancel(net::monotonicNow(), wish, acts_);
+  arm();
+}
+
+// Acts are carried out from the loop alone, so that no callback of the program runs within its own call.
+void SessionClient::carry() {
+  while (!acts_.empty()) {
+    const std::vector<Act> acts = std::exchange(acts_, {});
+    for (const Act& act : acts) {
+      if (const auto* attempt = std::get_if<Try>(&act)) {
+        open(*attempt);
+      } else if (const auto* abandon = std::get_if<Abandon>(&act)) {
+        drop(abandon->attempt);
+      } else {
+        const auto& give = std::get<Give>(act);
+        const auto it = wishes_.find(give.wish);
+        if (it == wishes_.end()) continue;
+        Wished& wished = *it->second;
+        Heard heard = wished.last;
+        heard.result = give.result;
+        heard.comeBackAfter = give.comeBackAfter;
+        const OnResult tell = wished.onResult;
+        if (give.result != Result::playing) wishes_.erase(it);
+        if (tell) calls_.push_back([tell, id = give.wish, heard] { tell(id, heard); });
+      }
+    }
+  }
+}
+
+void SessionClient::open(const Try& attempt) {
+  const std::string& address = directors_[attempt.director].address;
+  const std::size_t colon = address.rfind(':');
+  auto line = std::make_unique<Line>();
+  line->owner = this;
+  line->attempt = attempt.attempt;
+  line->wish = attempt.wish;
+  net::Bev bev = net::connectTo(base_, address.substr(0, colon), std::atoi(address.c_str() + colon + 1));
+  if (!bev) return core_.failed(net::monotonicNow(), attempt.attempt, acts_);
+  websocket::ChannelLimits limits;
+  limits.messageBytes = 65536;
+  limits.handshake = std::max<Micros>(100'000, std::min<Micros>(limits.handshake, attempt.timeLeft));
+  line->channel = std::make_unique<websocket::Channel>(std::move(bev), *line, limits, false, address);
+  lines_.emplace(attempt.attempt, std::move(line));
+}
+
+void SessionClient::heard(Line& line, std::string_view text) {
+  using websocket::Said;
+  const auto it = wishes_.find(line.wish);
+  if (it == wishes_.end() || line.dropped) return;
+  Wished& wished = *it->second;
+  websocket::AnswerMessage answer;
+  try {
+    answer = websocket::readAnswer(text);
+  } catch (const websocket::BadMessage&) {
+    return;  // a newer director may say more than this library knows
+  }
+  const Micros now = net::monotonicNow();
+  const auto told = [&](Answer what) {
+    wished.last.reason = answer.reason;
+    core_.answered(now, line.attempt, what, answer.retryAfter, answer.reason == "draining", acts_);
+    arm();
+  };
+  switch (answer.said) {
+    case Said::hello: {
+      if (line.asked) return;
+      line.asked = true;
+      websocket::AskMessage ask;
+      ask.id = "a";
+      ask.key = wished.key;
+      ask.viewer = wished.want.viewer;
+      ask.title = wished.want.title;
+      ask.room = wished.want.room;
+      ask.top = wished.want.top;
+      if (wished.want.length > 0) ask.length = wished.want.length;
+      ask.again = wished.sentTo;
+      core_.sent(now, line.attempt);
+      wished.sentTo = answer.director;
+      line.channel->sendText(websocket::textOf(ask));
+      return;
+    }
+    case Said::playing:
+      wished.last = {Result::playing, "", answer.subscription, answer.node, answer.ticket, answer.rung, 0};
+      wished.plays = line.attempt;
+      return told(Answer::playing);
+    case Said::throttled:
+      wished.sentTo.clear();  // nothing of it ran: it is a first ask again, for anybody
+      line.dropped = true;
+      return told(Answer::throttled);
+    case Said::terminated:
+    case Said::error:
+      line.dropped = true;
+      return told(Answer::terminated);
+    case Said::rung:
+      wished.last.rung = answer.rung;
+      if (wished.onRung)
+        calls_.push_back([tell = wished.onRung, id = line.wish, rung = answer.rung] { tell(id, rung); });
+      return arm();
+    case Said::ended:
+      line.dropped = true;
+      if (wished.onEnd)
+        calls_.push_back([tell = wished.onEnd, id = line.wish, why = answer.reason,
+                          after = answer.retryAfter] { tell(id, why, after); });
+      wishes_.erase(it);
+      return arm();
+  }
+}
+
+void SessionClient::closed(Line& line) {
+  if (line.dropped) return;
+  line.dropped = true;
+  const auto it = wishes_.find(line.wish);
+  if (it != wishes_.end() && it->second->plays == line.attempt) {
+    if (it->second->onEnd)
+      calls_.push_back([tell = it->second->onEnd, id = line.wish] { tell(id, "director-lost", 0); });
+    wishes_.erase(it);
+  } else {
+    core_.failed(net::monotonicNow(), line.attempt, acts_);
+  }
+  arm();
+}
+
+void SessionClient::drop(TryId attempt) {
+  const auto it = lines_.find(attempt);
+  if (it == lines_.end()) return;
+  it->second->dropped = true;
+  if (it->second->channel) it->second->channel->abort();
+}
+
+void SessionClient::arm() {
+  const Micros now = net::monotonicNow();
+  Micros wait = std::clamp<Micros>(core_.due() - now, 0, tickMost);
+  if (!acts_.empty() || !calls_.empty()) wait = 0;
+  const timeval span{0, static_cast<suseconds_t>(wait)};
+  event_add(timer_.get(), &span);
+}
+
+void SessionClient::onTimer(evutil_socket_t, short, void* me) {
+  auto& client = *static_cast<SessionClient*>(me);
+  const Micros now = net::monotonicNow();
+  client.core_.tick(now, client.acts_);
+  client.carry();
+  for (auto& [attempt, line] : client.lines_)
+    if (!line->dropped) line->channel->tick(now);
+  // Freed here, outside of their own callbacks; a line that was left goes once it has said so.
+  std::erase_if(client.lines_, [&](auto& entry) {
+    Line& line = *entry.second;
+    const bool left = !client.wishes_.contains(line.wish) && line.channel->unsent() == 0;
+    return line.dropped || left;
+  });
+  const auto calls = std::exchange(client.calls_, {});
+  for (const auto& call : calls) call();
+  if (!client.wishes_.empty() || !client.lines_.empty()) client.arm();
+}
+
+}  // namespace lupinsill::client
--- /dev/null
+++ b/client/websocket/session_client.h
@@ -0,0 +1,76 @@
+// The session protocol for C++ programs, over the core: asks, hears, and never decides on a retry itself.
+// One libevent base, no thread; callbacks come from the base's loop, never from within a call of this class.
+// Times are whole microseconds. A wish gets exactly one result; one that plays then gets exactly one end.
+// Source: docs/protocol/session-websocket.md. Not to be moved while its base runs.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "net/handles.h"
+#include "websocket/channel.h"
+#include "websocket/messages.h"
+
+namespace lupinsill::client {
+
+struct Want {
+  std::string viewer;
+  std::string title;
+  std::string room;
+  bool unsafe = false;  // a room type that must not be set up twice
+  int top = 1000;
+  Micros timeout = 5'000'000;
+  Micros length = 0;  // 0: not known
+};
+
+struct Heard {
+  Result result = Result::unreachable;
+  std::string reason;  // of the director's last answer, where there was one
+  std::string subscription, node, ticket;
+  int rung = 0;
+  Micros comeBackAfter = 0;
+};
+
+class SessionClient {
+ public:
+  using OnResult = std::function<void(WishId, const Heard&)>;
+  using OnEnd = std::function<void(WishId, const std::string& reason, Micros comeBackAfter)>;
+  using OnRung = std::function<void(WishId, int rung)>;
+
+  SessionClient(event_base* base, std::vector<DirectorAt> directors, Manners manners, std::uint64_t seed);
+  ~SessionClient();
+  SessionClient(const SessionClient&) = delete;
+  SessionClient& operator=(const SessionClient&) = delete;
+
+  WishId ask(const Want& want, OnResult onResult, OnEnd onEnd = {}, OnRung onRung = {});
+  void leave(WishId wish);  // gives up a wish, or ends what plays
+  const Counts& counts() const { return core_.counts(); }
+
+ private:
+  struct Wished;
+  struct Line;
+  void carry();
+  void open(const Try& attempt);
+  void heard(Line& line, std::string_view text);
+  void closed(Line& line);
+  void drop(TryId attempt);
+  void arm();
+  static void onTimer(evutil_socket_t, short, void* me);
+
+  event_base* base_;
+  std::vector<DirectorAt> directors_;
+  Core core_;
+  net::Event timer_;
+  WishId next_ = 0;
+  std::map<WishId, std::unique_ptr<Wished>> wishes_;
+  std::map<TryId, std::unique_ptr<Line>> lines_;
+  std::vector<std::unique_ptr<Line>> dead_;
+  std::vector<Act> acts_;
+  std::vector<std::function<void()>> calls_;  // of the program, made from the loop
+};
+
+}  // namespace lupinsill::client
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -11,11 +11,13 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <thread>
 
 #include "director/admin.h"
 #include "media/rtsp.h"
 #include "websocket/handshake.h"
+#include "websocket/session_client.h"
 
 using namespace lupinsill;
 
@@ -345,3 +347,110 @@
   CHECK(WEXITSTATUS(status) == 0);
   d.pid = 0;
 }
+
+namespace {
+
+void spin(event_base* base, int ms, const std::function<bool()>& enough) {
+  for (int i = 0; i < ms / 10 && !enough(); ++i) {
+    const timeval wait{0, 10'000};
+    event_base_loopexit(base, &wait);
+    event_base_dispatch(base);
+  }
+}
+
+struct Asked {
+  net::Base base{event_base_new()};
+  client::SessionClient client;
+  client::Heard heard;
+  int results = 0, ends = 0;
+  std::string end;
+  client::WishId wish = 0;
+  explicit Asked(std::vector<int> ports) : client(base.get(), at(ports), manners(), 3) {}
+  static std::vector<client::DirectorAt> at(const std::vector<int>& ports) {
+    std::vector<client::DirectorAt> list;
+    for (const int port : ports) list.push_back({"127.0.0.1:" + std::to_string(port), "here"});
+    return list;
+  }
+  static client::Manners manners() {
+    client::Manners m;
+    m.building = "here";
+    return m;
+  }
+  void ask(const std::string& room, client::Micros timeout = 20'000'000) {
+    client::Want want{"v", "t", room, room == "paid-class"};
+    want.timeout = timeout;
+    wish = client.ask(
+        want, [this](client::WishId, const client::Heard& h) { heard = h, ++results; },
+        [this](client::WishId, const std::string& why, client::Micros) { end = why, ++ends; });
+  }
+  void until(const std::function<bool()>& enough) { spin(base.get(), 15'000, enough); }
+};
+
+}  // namespace
+
+TEST_CASE("Client library: a paid ask whose director is killed before it answers is never set up again") {
+  Node node;
+  Director d(node.entry());
+  // The next run listens where this one did, as in service.
+  const std::string at = "127.0.0.1:" + std::to_string(d.players);
+  std::ifstream in(d.folder + "/small.xml");
+  std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  text.replace(text.find("127.0.0.1:0"), 11, at);
+  std::ofstream(d.folder + "/small.xml") << text;
+
+  Asked player({d.players});
+  player.ask("paid-class");
+  // The join has reached its node; the answer never comes, and the director dies.
+  std::thread loop([&] { player.until([&] { return player.results > 0; }); });
+  const media::Message setUp = node.next();
+  CHECK(setUp.method == "SETUP");
+  node.next();
+  CHECK(d.end(SIGKILL) == -SIGKILL);
+  close(node.fd);
+  node.fd = -1;
+  node.reader = media::Reader();
+  d.start();
+  loop.join();
+  REQUIRE(player.results == 1);
+  CHECK(player.heard.result == client::Result::terminated);
+  CHECK(player.heard.reason == "may-have-run");
+  // No second SETUP has come.
+  pollfd p{node.listener, POLLIN, 0};
+  CHECK(poll(&p, 1, 300) == 0);
+}
+
+TEST_CASE("Client library: plays, ends, and goes past a director that is not there") {
+  Node node;
+  Director d(node.entry());
+  int dead = 0;
+  {
+    const Node gone;
+    dead = gone.port;
+  }
+  Asked player({dead, d.players});
+  player.ask("recipe-clip");
+  std::thread loop([&] { player.until([&] { return player.results > 0; }); });
+  const media::Message setUp = node.next(), play = node.next();
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  loop.join();
+  REQUIRE(player.results == 1);
+  CHECK(player.heard.result == client::Result::playing);
+  CHECK_FALSE(player.heard.ticket.empty());
+  player.client.leave(player.wish);
+  spin(player.base.get(), 200, [] { return false; });
+  CHECK(node.next().method == "TEARDOWN");
+}
+
+TEST_CASE("Client library: nobody there is told well before the timeout") {
+  int dead = 0;
+  {
+    const Node gone;
+    dead = gone.port;
+  }
+  Asked player({dead});
+  player.ask("paid-class", 5'000'000);
+  player.until([&] { return player.results > 0; });
+  REQUIRE(player.results == 1);
+  CHECK(player.heard.result == client::Result::unreachable);
+}
