--- a/src/director/director.cpp
+++ b/src/director/director.cpp
@@ -77,7 +77,7 @@
   Start start_;
   settings::Deployment deployment_;
   std::string runName_;  // of this run: subscriptions of an earlier one are others
-  ticket::Key ticketKey_{};
+  ticket::KeyRing ticketKeys_;
   net::Base base_;
   fleet::Membership membership_;
   session::Front front_;
@@ -170,8 +170,8 @@
                        .Register(registry_)) {
   setUpLog(deployment_.logLevel, deployment_.logForm, deployment_.name);
   startedAt_ = net::monotonicNow();
-  ticketKey_ =
-      deployment_.ticketKeyFile.empty() ? ticket::freshKey() : ticket::readKey(deployment_.ticketKeyFile);
+  ticketKeys_ = deployment_.ticketKeyFile.empty() ? ticket::KeyRing{ticket::freshKey()}
+                                                  : ticket::readKeys(deployment_.ticketKeyFile);
   if (deployment_.ticketKeyFile.empty())
     log(Level::warn, "tickets-unshared", {{"why", "no key-file: a key was drawn for this run alone"}});
 
@@ -363,8 +363,9 @@
     message.subscription = runName_ + "-" + std::to_string(playing->sub);
     message.node = box == nullptr ? "" : box->host + ":" + std::to_string(box->port);
     message.rung = playing->rung;
-    message.ticket = ticket::sign(ticketKey_, {message.subscription, message.node, playing->rung,
-                                               (net::wallNow() + deployment_.ticketValid) / 1'000'000});
+    message.ticket =
+        ticket::sign(ticketKeys_.front(), {message.subscription, message.node, playing->rung,
+                                           (net::wallNow() + deployment_.ticketValid) / 1'000'000});
     answered(playing->line, "playing");
     say(playing->line, std::move(message));
   } else if (const auto* throttled = std::get_if<session::Throttled>(&order)) {
@@ -465,13 +466,14 @@
       for (const std::string& name : unsafe) names += (names.empty() ? "" : ", ") + name;
       return log(Level::error, "reload-refused", {{"needs a restart", names}});
     }
+    if (!next.ticketKeyFile.empty()) ticketKeys_ = ticket::readKeys(next.ticketKeyFile);
     deployment_ = std::move(next);
     setUpLog(deployment_.logLevel, deployment_.logForm, deployment_.name);
     players_->setLimits(deployment_.sockets);
     nodes_.setLimits(deployment_.nodes);
     listStat_ = {};
     log(Level::info, "reloaded", {});
-  } catch (const settings::BadSettings& bad) {
+  } catch (const std::runtime_error& bad) {
     log(Level::error, "reload-refused", {{"why", bad.what()}});
   }
 }
--- a/src/ticket/ticket.cpp
+++ b/src/ticket/ticket.cpp
@@ -40,17 +40,24 @@
   return key;
 }
 
-Key readKey(const std::string& file) {
+KeyRing readKeys(const std::string& file) {
   std::ifstream in(file);
+  if (!in) throw std::runtime_error(file + ": ticket keys cannot be read");
+  KeyRing keys;
   std::string text;
-  if (!(in >> text)) throw std::runtime_error(file + ": ticket key cannot be read");
-  Key key{};
-  std::size_t size = 0;
-  const char* end = nullptr;
-  if (sodium_hex2bin(key.data(), key.size(), text.data(), text.size(), nullptr, &size, &end) != 0 ||
-      size != key.size() || end != text.data() + text.size())
-    throw std::runtime_error(file + ": ticket key: expected 64 hex digits");
-  return key;
+  for (int line = 1; std::getline(in, text); ++line) {
+    if (text.empty()) continue;
+    Key key{};
+    std::size_t size = 0;
+    const char* end = nullptr;
+    if (sodium_hex2bin(key.data(), key.size(), text.data(), text.size(), nullptr, &size, &end) != 0 ||
+        size != key.size() || end != text.data() + text.size())
+      throw std::runtime_error(file + ":" + std::to_string(line) + ": ticket key: expected 64 hex digits");
+    keys.push_back(key);
+  }
+  if (keys.empty() || keys.size() > 4)
+    throw std::runtime_error(file + ": ticket keys: expected one to four lines");
+  return keys;
 }
 
 std::string sign(const Key& key, const Claims& claims) {
@@ -62,14 +69,18 @@
   return encoded(bytes, payload.size()) + "." + encoded(mac.data(), mac.size());
 }
 
-Verdict check(const Key& key, std::string_view ticket, std::int64_t nowSeconds, Claims& claims) {
+Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims) {
   const std::size_t dot = ticket.find('.');
   if (dot == std::string_view::npos || ticket.size() > 1024) return Verdict::malformed;
   std::vector<unsigned char> payload, mac;
   if (!decoded(ticket.substr(0, dot), payload) || !decoded(ticket.substr(dot + 1), mac) ||
       mac.size() != crypto_auth_BYTES)
     return Verdict::malformed;
-  if (crypto_auth_verify(mac.data(), payload.data(), payload.size(), key.data()) != 0) return Verdict::forged;
+  // Each key is tried whole: which one fits must not show in the time that it takes.
+  bool fits = false;
+  for (const Key& key : keys)
+    fits |= crypto_auth_verify(mac.data(), payload.data(), payload.size(), key.data()) == 0;
+  if (!fits) return Verdict::forged;
   const std::string text(payload.begin(), payload.end());
   const std::size_t a = text.find('|');
   const std::size_t b = a == std::string::npos ? a : text.find('|', a + 1);
--- a/src/ticket/ticket.h
+++ b/src/ticket/ticket.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lupinsill::ticket {
 
@@ -21,11 +22,14 @@
 };
 
 Key freshKey();
-// 64 hex digits. Throws std::runtime_error naming the file.
-Key readKey(const std::string& file);
+// Keys in force, the newest first: it signs, all of them check. While a key is rotated both stand here, so
+// that tickets of the old one live out their time.
+using KeyRing = std::vector<Key>;
+// One key a line, 64 hex digits each, one to four of them. Throws std::runtime_error naming file and line.
+KeyRing readKeys(const std::string& file);
 std::string sign(const Key& key, const Claims& claims);
 
 enum class Verdict { good, malformed, forged, expired };
-Verdict check(const Key& key, std::string_view ticket, std::int64_t nowSeconds, Claims& claims);
+Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims);
 
 }  // namespace lupinsill::ticket
