Paid keys name the director they are for, so no other one sets them up

Need: a repeat that reaches another director than the first was recognized only where the client said so; directors share nothing. Change: a key of a paid room type begins with the director's name from its hello; any other director answers it terminated, elsewhere, and one without a name is no ask. The client library makes such keys and a new one after a throttle; the lab's players do; stand-ins read our headers unescaped, or the audit would have missed throttled paid asks.

--- a/client/websocket/session_client.cpp
+++ b/client/websocket/session_client.cpp
@@ -14,6 +14,7 @@
 struct SessionClient::Wished {
   Want want;
   std::string key;
+  std::string keySent;
   std::string sentTo;  // the name of the director that may have taken it
   Heard last;
   TryId plays = 0;
@@ -137,7 +138,9 @@
       line.asked = true;
       websocket::AskMessage ask;
       ask.id = "a";
-      ask.key = wished.key;
+      // For this director and no other; once it has throttled, another one gets a key of its own.
+      if (wished.sentTo.empty()) wished.keySent = answer.director + ":" + wished.key;
+      ask.key = wished.keySent;
       ask.viewer = wished.want.viewer;
       ask.title = wished.want.title;
       ask.room = wished.want.room;
--- a/src/director/director.cpp
+++ b/src/director/director.cpp
@@ -313,6 +313,13 @@
   const auto index = room - deployment_.roomTypes.begin();
   const RoomType& type = deployment_.terms.roomTypes[static_cast<std::size_t>(index)];
   const Micros timeout = deployment_.clientTimeouts[static_cast<std::size_t>(index)];
+  // A paid key names the director that it is for, so that another one knows it for a stranger's even where
+  // the player does not say that it asked before.
+  const std::size_t colon = ask.key.find(':');
+  const bool unsafe = type.effect != Effect::repeatable;
+  if (unsafe && (colon == std::string::npos || colon + 1 == ask.key.size()))
+    return why = "key: the director's name, a colon and more expected for this room type", false;
+  const bool foreign = unsafe && ask.key.compare(0, colon, deployment_.name) != 0;
   const fleet::TitleAt at = membership_.where(ask.title);
   session::Ask out;
   out.line = line;
@@ -326,9 +333,10 @@
   out.top = std::min(ask.top, type.top);
   out.timeout = ask.timeout ? std::min(*ask.timeout, timeout) : timeout;
   out.length = ask.length;
-  out.again = ask.again.empty()               ? session::Ask::Again::no
-              : ask.again == deployment_.name ? session::Ask::Again::here
-                                              : session::Ask::Again::elsewhere;
+  out.again = foreign || (!ask.again.empty() && ask.again != deployment_.name)
+                  ? session::Ask::Again::elsewhere
+              : ask.again.empty() ? session::Ask::Again::no
+                                  : session::Ask::Again::here;
   asked_[line] = {net::monotonicNow(), out.roomType};
   front_.ask(std::move(out));
   return true;
--- a/src/lab/players.cpp
+++ b/src/lab/players.cpp
@@ -121,7 +121,9 @@
     player.wakeAt = now + 3'000'000;
     return;
   }
-  if (!again) player.askKey = player.viewer() + "." + std::to_string(++player.tries);
+  if (!again)
+    player.askKey =
+        "d" + std::to_string(player.place) + ":" + player.viewer() + "." + std::to_string(++player.tries);
   websocket::AskMessage message;
   message.id = again ? "again" : "a" + std::to_string(player.tries);
   message.key = player.askKey;
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -135,7 +135,7 @@
   const auto room = std::find(rooms.begin(), rooms.end(), named.roomType);
   session->connection = &connection;
   session->pipelined = message.header("Pipelined-Requests");
-  session->viewer = message.header("Lupinsill-Viewer");
+  session->viewer = media::unescaped(message.header("Lupinsill-Viewer"));
   session->title = titleOf(named.title);
   session->roomType = room == rooms.end() ? 0 : static_cast<int>(room - rooms.begin());
   session->rung = named.rung;
@@ -148,7 +148,7 @@
   seen.director = connection.director;
   seen.subscription = message.header("Lupinsill-Subscription");
   seen.viewer = session->viewer;
-  seen.askKey = message.header("Lupinsill-Ask");
+  seen.askKey = media::unescaped(message.header("Lupinsill-Ask"));
   seen.title = named.title;
   seen.roomType = session->roomType;
   seen.rung = session->rung;
--- a/src/media/nodes.cpp
+++ b/src/media/nodes.cpp
@@ -50,6 +50,8 @@
   return out;
 }
 
+}  // namespace
+
 std::string unescaped(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -63,8 +65,6 @@
   return out;
 }
 
-}  // namespace
-
 std::string uriOf(const std::string& address, const std::string& title, const std::string& roomType,
                   int rung) {
   return "rtsp://" + address + "/" + escaped(title) + "?room=" + escaped(roomType) +
--- a/src/media/nodes.h
+++ b/src/media/nodes.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fleet/membership.h"
@@ -79,6 +80,7 @@
 // What one title and rung are named on the wire; the stand-in nodes read it back.
 std::string uriOf(const std::string& address, const std::string& title, const std::string& roomType,
                   int rung);
+std::string unescaped(std::string_view text);  // of a URI's part, or of a header of ours
 struct Named {
   std::string title;
   std::string roomType;
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -145,7 +145,8 @@
 };
 
 std::string askText(const std::string& id, const std::string& room = "recipe-clip") {
-  return R"({"type":"ask","id":")" + id + R"(","key":"k","viewer":"v","title":"t","room":")" + room + R"("})";
+  return R"({"type":"ask","id":")" + id + R"(","key":"front-1:k","viewer":"v","title":"t","room":")" + room +
+         R"("})";
 }
 
 // A node that accepts one connection and is driven by the test.
@@ -247,7 +248,7 @@
   CHECK(setUp.method == "SETUP");
   CHECK(play.method == "PLAY");
   CHECK(setUp.header("Pipelined-Requests") == play.header("Pipelined-Requests"));
-  CHECK(setUp.header("Lupinsill-Ask") == "k");
+  CHECK(setUp.header("Lupinsill-Ask") == "front-1%3Ak");
   node.answer(setUp, 200, "s1");
   node.answer(play, 200, "s1");
   CHECK(has(player.read([](const std::string& s) { return has(s, "ticket"); }), "playing"));
@@ -275,6 +276,22 @@
   CHECK(has(got, "may-have-run"));
 }
 
+TEST_CASE("A paid key that names another director sets nothing up; one that names none is no ask") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  std::string text = askText("a", "paid-class");
+  text.replace(text.find("front-1:"), 8, "front-2:");
+  player.send(Socket::frame(text));
+  CHECK(has(player.read([](const std::string& s) { return has(s, "reason"); }), "elsewhere"));
+  text.replace(text.find("front-2:"), 8, "");
+  player.send(Socket::frame(text));
+  CHECK(has(player.read([](const std::string& s) { return has(s, "reason"); }), "error"));
+  pollfd p{node.listener, POLLIN, 0};
+  CHECK(poll(&p, 1, 200) == 0);
+}
+
 TEST_CASE("A paid join refused by its only node is throttled; REDIRECT from a node stops joins there") {
   Node node;
   Director d(node.entry());
--- a/tests/rtsp_test.cpp
+++ b/tests/rtsp_test.cpp
@@ -31,6 +31,7 @@
     drain();
     CHECK(got == 2);
   }
+  CHECK(unescaped("front-1%3Ak") == "front-1:k");
   Named named;
   REQUIRE(readUri(out.uri, named));
   CHECK(named.title == "a/b c?");
