The client core's header says what throttled means for a safe wish

Cause: read once more, the header promised that nothing ran, while a safe wish whose reply was lost ends as throttled too, since asking anew does it no harm. Change: the comment.

--- a/client/core/core.h
+++ b/client/core/core.h
@@ -55,7 +55,7 @@
 enum class Answer { playing, throttled, terminated };
 enum class Result {
   playing,
-  throttled,    // provably nothing ran; comeBackAfter says when to ask anew
+  throttled,    // asking anew does no harm: nothing ran, or the wish was a safe one; see comeBackAfter
   terminated,   // the director said so
   unknown,      // unsafe, and may have run: ask the viewer before paying again
   unreachable,  // no director took the ask; nothing ran
