--- a/client/core/core.cpp
+++ b/client/core/core.cpp
@@ -96,17 +96,19 @@
 void Core::sent(Micros, TryId attempt) {
   Held* held = byTry(attempt);
   if (held == nullptr) return;
-  held->sentOnce = true;
+  held->sentOnce = held->sentNow = true;
   // Guards against a second charge at a director that knows nothing of the first.
   if (held->wish.unsafe && held->director < directors_.size())
     held->bound = directors_[held->director].at.address;
 }
 
-void Core::failed(Micros now, TryId attempt, std::vector<Act>& acts) {
+void Core::failed(Micros now, TryId attempt, std::vector<Act>& acts, bool unread) {
   Held* held = byTry(attempt);
   if (held == nullptr) return;
   tries_.erase(attempt);
   held->state = State::waiting;
+  // What was proved of this try says nothing of those before it.
+  if (unread) held->bound = held->boundBefore;
   shun(now, held->director, 0);
   // Another director may be asked at once; the same one only after a wait.
   if (held->bound.empty())
@@ -152,7 +154,9 @@
       go(now, held, acts);
       continue;
     }
-    // A safe try without an answer. An unsafe one is never called off: its answer is the only one there is.
+    // An unsafe ask that may have been taken is never called off: its answer is the only one there is.
+    if (held.wish.unsafe && held.sentNow) continue;
+    // Guards against a director that takes connections and says nothing on them.
     acts.push_back(Abandon{held.attempt});
     failed(now, held.attempt, acts);
   }
@@ -235,10 +239,12 @@
   ++counts_.tries;
   held.state = State::trying;
   held.director = director;
+  held.boundBefore = held.bound;
+  held.sentNow = false;
   held.attempt = ++next_;
   tries_[held.attempt] = held.wish.id;
   const Micros left = held.endsAt - now;
-  if (!held.wish.unsafe && manners_.tryMost < left) note(held, now + manners_.tryMost);
+  if (manners_.tryMost < left) note(held, now + manners_.tryMost);
   acts.push_back(Try{held.wish.id, held.attempt, director, held.wish.key, left});
 }
 
--- a/client/core/core.h
+++ b/client/core/core.h
@@ -6,7 +6,8 @@
 //  1. Each wish gets exactly one result, by its timeout at the latest; what is given up on is told at once.
 //  2. At most one try of a wish is out.
 //  3. All tries of a wish carry the same key. Once a try of an unsafe wish may have been taken, further tries
-//     go to that director only, until it answers: directors share nothing, and only that one knows the key.
+//     go to that director only, until it answers or proves that it never read it: directors share nothing,
+//     and only that one knows the key.
 //  4. No try leaves before the time that the last answer asked to wait.
 //  5. Tries beyond a wish's first stay within the budget: in any window, a few and a share of first tries.
 //  6. Directors of the own building come first; one that fails is left alone for a while, longer each time.
@@ -41,7 +42,7 @@
   Micros budgetWindow = 10'000'000;
   Micros shunLeast = 500'000;  // a director that failed; doubles each time
   Micros shunMost = 30'000'000;
-  Micros tryMost = 3'000'000;  // a safe try without an answer is given up on after this
+  Micros tryMost = 3'000'000;  // a try that is unsent, or safe and unanswered, is given up on after this
   int triesMost = 6;           // of one wish
 };
 
@@ -94,8 +95,10 @@
   void cancel(Micros now, WishId wish, std::vector<Act>& acts);
   // The ask is about to be handed to an open connection: from now on it may be taken.
   void sent(Micros now, TryId attempt);
-  // The try ended without an answer: never sent (no connection), or lost after sending.
-  void failed(Micros now, TryId attempt, std::vector<Act>& acts);
+  // The try ended without an answer: never sent (no connection), or lost after sending. `unread`: the other
+  // side has proved that it never read the ask (RFC 9113: a stream over GOAWAY's last one, or
+  // REFUSED_STREAM).
+  void failed(Micros now, TryId attempt, std::vector<Act>& acts, bool unread = false);
   void answered(Micros now, TryId attempt, Answer answer, Micros retryAfter, bool directorDrains,
                 std::vector<Act>& acts);
   void tick(Micros now, std::vector<Act>& acts);
@@ -115,7 +118,9 @@
     Micros notBefore = 0;
     TryId attempt = 0;
     std::size_t director = 0;
-    std::string bound;  // the director that may have taken it, by address; empty: none
+    std::string bound;        // the director that may have taken it, by address; empty: none
+    std::string boundBefore;  // this try
+    bool sentNow = false;     // this try
     int tries = 0;
     int waits = 0;
     bool sentOnce = false;
--- a/client/websocket/session_client.cpp
+++ b/client/session/session_client.cpp
@@ -1,10 +1,9 @@
-#include "websocket/session_client.h"
+#include "session/session_client.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
-#include "websocket/handshake.h"
+#include "websocket/handshake.h"  // fresh keys
 
 namespace lupinsill::client {
 namespace {
@@ -15,7 +14,8 @@
   Want want;
   std::string key;
   std::string keySent;
-  std::string sentTo;  // the name of the director that may have taken it
+  std::string sentTo;        // the name of the director that may have taken it
+  std::string sentToBefore;  // this try
   Heard last;
   TryId plays = 0;
   bool over = false;
@@ -24,21 +24,24 @@
   OnRung onRung;
 };
 
-struct SessionClient::Line final : websocket::Channel::Ear {
+struct SessionClient::Line final : LinkEar {
   SessionClient* owner = nullptr;
   TryId attempt = 0;
   WishId wish = 0;
+  Micros endsAt = 0;
   bool asked = false;
   bool dropped = false;
-  std::unique_ptr<websocket::Channel> channel;
-  void onOpen(websocket::Channel&) override {}  // the director speaks first
-  void onText(websocket::Channel&, std::string_view text) override { owner->heard(*this, text); }
-  void onClosed(websocket::Channel&, int) override { owner->closed(*this); }
+  std::unique_ptr<Link> link;
+  void onHello(const std::string& director) override { owner->hello(*this, director); }
+  void onAnswer(const player::AnswerMessage& answer) override { owner->heard(*this, answer); }
+  void onLost(bool unread) override { owner->lost(*this, unread); }
 };
 
-SessionClient::SessionClient(event_base* base, std::vector<DirectorAt> directors, Manners manners,
-                             std::uint64_t seed)
-    : base_(base), directors_(directors), core_(std::move(directors), std::move(manners), seed) {
+SessionClient::SessionClient(event_base* base, std::unique_ptr<Transport> transport,
+                             std::vector<DirectorAt> directors, Manners manners, std::uint64_t seed)
+    : transport_(std::move(transport)),
+      directors_(directors),
+      core_(std::move(directors), std::move(manners), seed) {
   timer_.reset(event_new(base, -1, 0, onTimer, this));
 }
 SessionClient::~SessionClient() = default;
@@ -64,8 +67,7 @@
   if (it == wishes_.end()) return;
   Wished& wished = *it->second;
   if (wished.plays != 0) {
-    if (const auto line = lines_.find(wished.plays); line != lines_.end() && line->second->channel)
-      line->second->channel->sendText(websocket::textOf(websocket::LeaveMessage{"a"}));
+    if (const auto line = lines_.find(wished.plays); line != lines_.end()) line->second->link->leave();
     wished.over = true;
     wishes_.erase(it);
     return arm();
@@ -100,58 +102,54 @@
 }
 
 void SessionClient::open(const Try& attempt) {
-  const std::string& address = directors_[attempt.director].address;
-  const std::size_t colon = address.rfind(':');
   auto line = std::make_unique<Line>();
   line->owner = this;
   line->attempt = attempt.attempt;
   line->wish = attempt.wish;
-  net::Bev bev = net::connectTo(base_, address.substr(0, colon), std::atoi(address.c_str() + colon + 1));
-  if (!bev) return core_.failed(net::monotonicNow(), attempt.attempt, acts_);
-  websocket::ChannelLimits limits;
-  limits.messageBytes = 65536;
-  limits.handshake = std::max<Micros>(100'000, std::min<Micros>(limits.handshake, attempt.timeLeft));
-  line->channel = std::make_unique<websocket::Channel>(std::move(bev), *line, limits, false, address);
+  line->endsAt = net::monotonicNow() + attempt.timeLeft;
+  line->link = transport_->open(directors_[attempt.director].address, attempt.timeLeft, *line);
+  if (!line->link) return core_.failed(net::monotonicNow(), attempt.attempt, acts_);
   lines_.emplace(attempt.attempt, std::move(line));
 }
 
-void SessionClient::heard(Line& line, std::string_view text) {
-  using websocket::Said;
+void SessionClient::hello(Line& line, const std::string& director) {
   const auto it = wishes_.find(line.wish);
-  if (it == wishes_.end() || line.dropped) return;
+  if (it == wishes_.end() || line.dropped || line.asked) return;
   Wished& wished = *it->second;
-  websocket::AnswerMessage answer;
-  try {
-    answer = websocket::readAnswer(text);
-  } catch (const websocket::BadMessage&) {
-    return;  // a newer director may say more than this library knows
-  }
   const Micros now = net::monotonicNow();
+  line.asked = true;
+  player::AskMessage ask;
+  // For this director and no other; once it has throttled, another one gets a key of its own.
+  if (wished.sentTo.empty()) wished.keySent = director + ":" + wished.key;
+  ask.key = wished.keySent;
+  ask.viewer = wished.want.viewer;
+  ask.title = wished.want.title;
+  ask.room = wished.want.room;
+  ask.top = wished.want.top;
+  if (wished.want.length > 0) ask.length = wished.want.length;
+  // Guards against a director that answers after the client gave up: it knows how long there is.
+  ask.timeout = std::max<Micros>(1'000, line.endsAt - now);
+  ask.again = wished.sentTo;
+  core_.sent(now, line.attempt);
+  wished.sentToBefore = wished.sentTo;
+  wished.sentTo = director;
+  line.link->ask(ask);
+}
+
+void SessionClient::heard(Line& line, const player::AnswerMessage& answer) {
+  using player::Said;
+  const auto it = wishes_.find(line.wish);
+  if (it == wishes_.end() || line.dropped) return;
+  Wished& wished = *it->second;
   const auto told = [&](Answer what) {
     wished.last.reason = answer.reason;
-    core_.answered(now, line.attempt, what, answer.retryAfter, answer.reason == "draining", acts_);
+    core_.answered(net::monotonicNow(), line.attempt, what, answer.retryAfter, answer.reason == "draining",
+                   acts_);
     arm();
   };
   switch (answer.said) {
-    case Said::hello: {
-      if (line.asked) return;
-      line.asked = true;
-      websocket::AskMessage ask;
-      ask.id = "a";
-      // For this director and no other; once it has throttled, another one gets a key of its own.
-      if (wished.sentTo.empty()) wished.keySent = answer.director + ":" + wished.key;
-      ask.key = wished.keySent;
-      ask.viewer = wished.want.viewer;
-      ask.title = wished.want.title;
-      ask.room = wished.want.room;
-      ask.top = wished.want.top;
-      if (wished.want.length > 0) ask.length = wished.want.length;
-      ask.again = wished.sentTo;
-      core_.sent(now, line.attempt);
-      wished.sentTo = answer.director;
-      line.channel->sendText(websocket::textOf(ask));
+    case Said::hello:
       return;
-    }
     case Said::playing:
       wished.last = {Result::playing, "", answer.subscription, answer.node, answer.ticket, answer.rung, 0};
       wished.plays = line.attempt;
@@ -179,7 +177,7 @@
   }
 }
 
-void SessionClient::closed(Line& line) {
+void SessionClient::lost(Line& line, bool unread) {
   if (line.dropped) return;
   line.dropped = true;
   const auto it = wishes_.find(line.wish);
@@ -188,16 +186,15 @@
       calls_.push_back([tell = it->second->onEnd, id = line.wish] { tell(id, "director-lost", 0); });
     wishes_.erase(it);
   } else {
-    core_.failed(net::monotonicNow(), line.attempt, acts_);
+    if (it != wishes_.end() && line.asked && unread) it->second->sentTo = it->second->sentToBefore;
+    core_.failed(net::monotonicNow(), line.attempt, acts_, unread);
   }
   arm();
 }
 
 void SessionClient::drop(TryId attempt) {
-  const auto it = lines_.find(attempt);
-  if (it == lines_.end()) return;
-  it->second->dropped = true;
-  if (it->second->channel) it->second->channel->abort();
+  if (const auto it = lines_.find(attempt); it != lines_.end()) it->second->dropped = true;
+  arm();
 }
 
 void SessionClient::arm() {
@@ -213,12 +210,11 @@
   const Micros now = net::monotonicNow();
   client.core_.tick(now, client.acts_);
   client.carry();
-  for (auto& [attempt, line] : client.lines_)
-    if (!line->dropped) line->channel->tick(now);
+  client.transport_->tick(now);
   // Freed here, outside of their own callbacks; a line that was left goes once it has said so.
   std::erase_if(client.lines_, [&](auto& entry) {
     Line& line = *entry.second;
-    const bool left = !client.wishes_.contains(line.wish) && line.channel->unsent() == 0;
+    const bool left = !client.wishes_.contains(line.wish) && line.link->flushed();
     return line.dropped || left;
   });
   const auto calls = std::exchange(client.calls_, {});
--- a/client/websocket/session_client.h
+++ b/client/session/session_client.h
@@ -1,7 +1,8 @@
-// The session protocol for C++ programs, over the core: asks, hears, and never decides on a retry itself.
-// One libevent base, no thread; callbacks come from the base's loop, never from within a call of this class.
-// Times are whole microseconds. A wish gets exactly one result; one that plays then gets exactly one end.
-// Source: docs/protocol/session-websocket.md. Not to be moved while its base runs.
+// Subscriptions for C++ programs, over the core and a transport (websocket/transport.h, grpc/transport.h):
+// asks, hears, and never decides on a retry itself. One libevent base, no thread; callbacks come from the
+// base's loop, never from within a call of this class. Times are whole microseconds. A wish gets exactly one
+// result; one that plays then gets exactly one end. Source: docs/protocol. Not to be moved while its base
+// runs.
 #pragma once
 
 #include <functional>
@@ -12,8 +13,7 @@
 
 #include "core/core.h"
 #include "net/handles.h"
-#include "websocket/channel.h"
-#include "websocket/messages.h"
+#include "session/transport.h"
 
 namespace lupinsill::client {
 
@@ -41,7 +41,8 @@
   using OnEnd = std::function<void(WishId, const std::string& reason, Micros comeBackAfter)>;
   using OnRung = std::function<void(WishId, int rung)>;
 
-  SessionClient(event_base* base, std::vector<DirectorAt> directors, Manners manners, std::uint64_t seed);
+  SessionClient(event_base* base, std::unique_ptr<Transport> transport, std::vector<DirectorAt> directors,
+                Manners manners, std::uint64_t seed);
   ~SessionClient();
   SessionClient(const SessionClient&) = delete;
   SessionClient& operator=(const SessionClient&) = delete;
@@ -55,20 +56,20 @@
   struct Line;
   void carry();
   void open(const Try& attempt);
-  void heard(Line& line, std::string_view text);
-  void closed(Line& line);
+  void hello(Line& line, const std::string& director);
+  void heard(Line& line, const player::AnswerMessage& answer);
+  void lost(Line& line, bool unread);
   void drop(TryId attempt);
   void arm();
   static void onTimer(evutil_socket_t, short, void* me);
 
-  event_base* base_;
+  std::unique_ptr<Transport> transport_;
   std::vector<DirectorAt> directors_;
   Core core_;
   net::Event timer_;
   WishId next_ = 0;
   std::map<WishId, std::unique_ptr<Wished>> wishes_;
   std::map<TryId, std::unique_ptr<Line>> lines_;
-  std::vector<std::unique_ptr<Line>> dead_;
   std::vector<Act> acts_;
   std::vector<std::function<void()>> calls_;  // of the program, made from the loop
 };
--- a/src/director/director.cpp
+++ b/src/director/director.cpp
@@ -19,6 +19,9 @@
 #include "director/admin.h"
 #include "director/log.h"
 #include "fleet/membership.h"
+#include "grpc/calls.h"
+#include "intake/desk.h"
+#include "intake/reception.h"
 #include "media/nodes.h"
 #include "net/handles.h"
 #include "store/store.h"
@@ -33,7 +36,7 @@
 constexpr int catchUpPasses = 16;
 constexpr Micros flushTime = 500'000;  // for last answers at the end
 
-class Director final : public websocket::Players::Ear, public media::Nodes::Ear {
+class Director final : public player::Ear, public media::Nodes::Ear {
  public:
   explicit Director(const Start& start);
   int loop();
@@ -44,7 +47,7 @@
     int roomType;
   };
 
-  bool asked(session::Line line, const websocket::AskMessage& ask, std::string& why) override;
+  bool asked(session::Line line, const player::AskMessage& ask, std::string& why) override;
   void left(session::Line line) override { front_.leave(line), asked_.erase(line); }
   void closed(session::Line line) override { front_.closed(line), asked_.erase(line); }
   void written(session::JoinKey join) override { front_.written(join); }
@@ -59,7 +62,9 @@
 
   void turn();
   void carry(const session::Order& order);
-  void say(session::Line line, websocket::AnswerMessage message);
+  void say(session::Line line, const player::AnswerMessage& message);
+  void follow();
+  std::size_t sockets() const;
   enum class Kind { playing, throttled, terminated };
   static constexpr std::size_t kinds = 3;
   void answered(session::Line line, Kind kind);
@@ -85,7 +90,12 @@
   fleet::Membership membership_;
   session::Front front_;
   media::Nodes nodes_;
+  intake::Reception reception_;
+  intake::Desk desk_;
   std::unique_ptr<websocket::Players> players_;
+  std::unique_ptr<grpc::Calls> calls_;  // where the settings name a place for it
+  std::vector<player::Door*> doors_;    // of both, as they are
+  std::vector<intake::Due> dues_;
   std::unique_ptr<Admin> admin_;
   net::Event wake_;
   struct Descriptor {
@@ -140,6 +150,14 @@
   return std::make_unique<session::ByControl>(terms, seed);
 }
 
+intake::Bounds deskBounds(const settings::Deployment& deployment) {
+  intake::Bounds bounds;
+  bounds.peers = static_cast<std::size_t>(deployment.sockets.connections);
+  bounds.callsPerPeer = static_cast<std::size_t>(deployment.sockets.asksPerSocket);
+  bounds.askWait = deployment.sockets.handshake;
+  return bounds;
+}
+
 std::string bytesOf(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   std::ostringstream out;
@@ -165,7 +183,10 @@
       base_(event_base_new()),
       membership_(deployment_.terms.cells, deployment_.leastKept, deployment_.bounds.grace),
       front_(deployment_.terms, boundsOf(deployment_, start.hooks), deciderOf(start, deployment_.terms)),
-      nodes_(base_.get(), *this, runName_, deployment_.nodes) {
+      nodes_(base_.get(), *this, runName_, deployment_.nodes),
+      reception_({deployment_.name, deployment_.roomTypes, deployment_.tenants, deployment_.clientTimeouts},
+                 deployment_.terms.roomTypes),
+      desk_(deskBounds(deployment_)) {
   makeAnswerTimes();
   setUpLog(deployment_.logLevel, deployment_.logForm, deployment_.name);
   startedAt_ = net::monotonicNow();
@@ -189,8 +210,14 @@
   }
   look(true);
 
-  players_ = std::make_unique<websocket::Players>(base_.get(), *this, deployment_.name, deployment_.players,
-                                                  deployment_.sockets);
+  players_ = std::make_unique<websocket::Players>(base_.get(), *this, desk_, deployment_.name,
+                                                  deployment_.players, deployment_.sockets, net::acceptPlain);
+  doors_.push_back(players_.get());
+  if (deployment_.grpc) {
+    calls_ = std::make_unique<grpc::Calls>(base_.get(), *this, desk_, deployment_.name, *deployment_.grpc,
+                                           deployment_.sockets, net::acceptPlain);
+    doors_.push_back(calls_.get());
+  }
   admin_ =
       std::make_unique<Admin>(base_.get(), deployment_.admin,
                               [this](const std::string& m, const std::string& p) { return serve(m, p); });
@@ -202,10 +229,19 @@
   std::signal(SIGPIPE, SIG_IGN);
   if (!start.portsFile.empty() &&
       !writeWhole(start.portsFile, "players " + std::to_string(players_->port()) + "\nadmin " +
-                                       std::to_string(admin_->port()) + "\n"))
+                                       std::to_string(admin_->port()) +
+                                       (calls_ ? "\ngrpc " + std::to_string(calls_->port()) : "") + "\n"))
     throw std::runtime_error(start.portsFile + ": cannot be written");
   log(Level::info, "listening",
-      {{"players", std::to_string(players_->port())}, {"admin", std::to_string(admin_->port())}});
+      {{"players", std::to_string(players_->port())},
+       {"grpc", calls_ ? std::to_string(calls_->port()) : "none"},
+       {"admin", std::to_string(admin_->port())}});
+}
+
+std::size_t Director::sockets() const {
+  std::size_t all = 0;
+  for (const player::Door* door : doors_) all += door->sockets();
+  return all;
 }
 
 void Director::openLedger() {
@@ -245,6 +281,7 @@
   log(Level::info, "stopping", {{"signal", std::to_string(signal)}});
   director.stopping_ = true;
   director.players_->stopAccepting();
+  if (director.calls_) director.calls_->stopAccepting(), director.calls_->setServing(false);
   director.front_.endAll();
 }
 
@@ -264,10 +301,10 @@
     turn();
     if (last - housedAt_ >= housekeeping) house();
     if (stopping_ && stopAt_ == 0) {
-      players_->closeAll();
+      for (player::Door* door : doors_) door->closeAll();
       stopAt_ = last + flushTime;
     }
-    if (stopAt_ != 0 && (last >= stopAt_ || players_->figures().sockets == 0)) break;
+    if (stopAt_ != 0 && (last >= stopAt_ || sockets() == 0)) break;
     if (drainingOut_ && !stopping_) {
       const session::Figures figures = front_.figures();
       if (figures.open == 0 && figures.plays == 0) {
@@ -283,7 +320,8 @@
 
 void Director::house() {
   const Micros now = housedAt_ = net::monotonicNow();
-  players_->tick(now);
+  follow();
+  for (player::Door* door : doors_) door->tick(now);
   nodes_.tick(now);
   if (now - lookedAt_ >= deployment_.lookEvery) look(false);
   if (ListTold told = membership_.confirm(now); !told.entries.empty()) {
@@ -304,41 +342,12 @@
 
 // ---- asks and answers ----
 
-bool Director::asked(session::Line line, const websocket::AskMessage& ask, std::string& why) {
-  const auto room = std::find(deployment_.roomTypes.begin(), deployment_.roomTypes.end(), ask.room);
-  if (room == deployment_.roomTypes.end()) return why = "room: unknown room type", false;
-  const auto tenant = std::find(deployment_.tenants.begin(), deployment_.tenants.end(), ask.tenant);
-  if (!deployment_.tenants.empty() && tenant == deployment_.tenants.end())
-    return why = "tenant: unknown tenant", false;
-  const auto index = room - deployment_.roomTypes.begin();
-  const RoomType& type = deployment_.terms.roomTypes[static_cast<std::size_t>(index)];
-  const Micros timeout = deployment_.clientTimeouts[static_cast<std::size_t>(index)];
-  // A paid key names the director that it is for, so that another one knows it for a stranger's even where
-  // the player does not say that it asked before.
-  const std::size_t colon = ask.key.find(':');
-  const bool unsafe = type.effect != Effect::repeatable;
-  if (unsafe && (colon == std::string::npos || colon + 1 == ask.key.size()))
-    return why = "key: the director's name, a colon and more expected for this room type", false;
-  const bool foreign = unsafe && ask.key.compare(0, colon, deployment_.name) != 0;
-  const fleet::TitleAt at = membership_.where(ask.title);
-  session::Ask out;
-  out.line = line;
-  out.askKey = ask.key;
-  out.viewer = ask.viewer;
-  out.title = ask.title;
-  out.roomType = static_cast<int>(index);
-  out.party = deployment_.tenants.empty() ? -1 : static_cast<int>(tenant - deployment_.tenants.begin());
-  out.firstCell = at.firstCell;
-  out.holders = at.holders;
-  out.top = std::min(ask.top, type.top);
-  out.timeout = ask.timeout ? std::min(*ask.timeout, timeout) : timeout;
-  out.length = ask.length;
-  out.again = foreign || (!ask.again.empty() && ask.again != deployment_.name)
-                  ? session::Ask::Again::elsewhere
-              : ask.again.empty() ? session::Ask::Again::no
-                                  : session::Ask::Again::here;
-  asked_[line] = {net::monotonicNow(), out.roomType};
-  front_.ask(std::move(out));
+bool Director::asked(session::Line line, const player::AskMessage& ask, std::string& why) {
+  const Micros now = net::monotonicNow();
+  auto read = reception_.read(line, ask, desk_.timeLeft(now, line), membership_, why);
+  if (!read) return false;
+  asked_[line] = {now, read->roomType};
+  front_.ask(std::move(*read));
   return true;
 }
 
@@ -364,13 +373,31 @@
       answerTimes_.push_back(&family.Add({{"answer", answer}, {"room", room}}, bounds));
 }
 
-void Director::say(session::Line line, websocket::AnswerMessage message) {
-  players_->answer(line, std::move(message));
+void Director::say(session::Line line, const player::AnswerMessage& message) {
+  using player::Said;
+  const intake::Tell tell = message.said == Said::playing      ? intake::Tell::playing
+                            : message.said == Said::throttled  ? intake::Tell::throttled
+                            : message.said == Said::terminated ? intake::Tell::terminated
+                            : message.said == Said::rung       ? intake::Tell::rung
+                            : message.said == Said::ended      ? intake::Tell::ended
+                                                               : intake::Tell::error;
+  const intake::Send send = desk_.tell(line, tell);
+  if (send == intake::Send::no) return;
+  for (player::Door* door : doors_)
+    if (door->carry(line, message, send == intake::Send::andEnd)) return;
+}
+
+// What the desk has due: the notices of a drain, and calls past their own deadline.
+void Director::follow() {
+  dues_.clear();
+  desk_.tick(net::monotonicNow(), dues_);
+  for (const intake::Due& due : dues_)
+    for (player::Door* door : doors_) door->carry(due);
 }
 
 void Director::carry(const session::Order& order) {
-  using websocket::AnswerMessage;
-  using websocket::Said;
+  using player::AnswerMessage;
+  using player::Said;
   if (const auto* playing = std::get_if<session::Playing>(&order)) {
     const fleet::Box* box = membership_.find(playing->node);
     AnswerMessage message;
@@ -382,31 +409,31 @@
         ticket::sign(ticketKeys_.front(), {message.subscription, message.node, playing->rung,
                                            (net::wallNow() + deployment_.ticketValid) / 1'000'000});
     answered(playing->line, Kind::playing);
-    say(playing->line, std::move(message));
+    say(playing->line, message);
   } else if (const auto* throttled = std::get_if<session::Throttled>(&order)) {
     AnswerMessage message;
     message.said = Said::throttled;
     message.reason = nameOf(throttled->why);
     message.retryAfter = throttled->retryAfter;
     answered(throttled->line, Kind::throttled);
-    say(throttled->line, std::move(message));
+    say(throttled->line, message);
   } else if (const auto* terminated = std::get_if<session::Terminated>(&order)) {
     AnswerMessage message;
     message.said = Said::terminated;
     message.reason = nameOf(terminated->why);
     answered(terminated->line, Kind::terminated);
-    say(terminated->line, std::move(message));
+    say(terminated->line, message);
   } else if (const auto* rung = std::get_if<session::RungNow>(&order)) {
     AnswerMessage message;
     message.said = Said::rung;
     message.rung = rung->rung;
-    say(rung->line, std::move(message));
+    say(rung->line, message);
   } else if (const auto* end = std::get_if<session::Ended>(&order)) {
     AnswerMessage message;
     message.said = Said::ended;
     message.reason = nameOf(end->why);
     message.retryAfter = end->retryAfter;
-    say(end->line, std::move(message));
+    say(end->line, message);
   } else if (const auto* setUp = std::get_if<session::SetUp>(&order)) {
     const fleet::Box* box = membership_.find(setUp->node);
     if (box == nullptr) return front_.ended(setUp->join, Outcome::connectFailed, {}, false);
@@ -484,6 +511,8 @@
     deployment_ = std::move(next);
     setUpLog(deployment_.logLevel, deployment_.logForm, deployment_.name);
     players_->setLimits(deployment_.sockets);
+    if (calls_) calls_->setLimits(deployment_.sockets);
+    desk_.setBounds(deskBounds(deployment_));
     nodes_.setLimits(deployment_.nodes);
     listStat_ = {};
     log(Level::info, "reloaded", {});
@@ -501,6 +530,8 @@
   if (method == "POST" && (path == "/drain" || path == "/undrain")) {
     drainingOut_ = path == "/drain";
     front_.drain(drainingOut_);
+    desk_.drain(net::monotonicNow(), drainingOut_);
+    if (calls_) calls_->setServing(!drainingOut_);
     log(Level::info, drainingOut_ ? "draining" : "drain-called-off", {});
     return {200, "application/json", status()};
   }
@@ -518,7 +549,7 @@
                               {"playing", f.playing},
                               {"throttled", f.throttled},
                               {"terminated", f.terminated},
-                              {"sockets", players_->figures().sockets},
+                              {"sockets", sockets()},
                               {"list",
                                {{"version", membership_.version()},
                                 {"nodes", membership_.boxes().size()},
@@ -569,6 +600,7 @@
   const auto real = [](auto n) { return static_cast<double>(n); };
   const session::Figures f = front_.figures();
   const websocket::PlayersFigures& p = players_->figures();
+  const intake::Figures desk = desk_.figures();
   const media::NodesFigures n = nodes_.figures();
   add("lupinsill_asks_total", "Asks taken from players", true, {{"", real(f.asks)}});
   add("lupinsill_answers_total", "Answers given, by kind", true,
@@ -599,13 +631,22 @@
     add("lupinsill_ledger_commits_total", "Group commits of the ledger", true,
         {{"", real(store_->commits())}});
   add("lupinsill_keys", "Keys of unsafe asks held or remembered", false, {{"", real(f.keys)}});
-  add("lupinsill_player_sockets", "Players' sockets", false, {{"", real(p.sockets)}});
+  add("lupinsill_player_sockets", "Players' sockets", false, {{"", real(sockets())}});
   add("lupinsill_player_sockets_total", "Players' sockets, by what became of them", true,
-      {{"accepted", real(p.accepted)},
-       {"refused", real(p.refused)},
-       {"closed", real(p.closed)},
+      {{"accepted", real(desk.taken)},
+       {"refused", real(desk.refused)},
+       {"unruly", real(desk.unruly)},
+       {"closed", real(p.closed + (calls_ ? calls_->figures().closed : 0))},
        {"too-slow", real(p.slow)},
-       {"bad-message", real(p.badMessages)}},
+       {"bad-message", real(p.badMessages + (calls_ ? calls_->figures().badWords : 0))}},
+      "what");
+  add("lupinsill_calls", "Asks on players' connections that are not over", false, {{"", real(desk.open)}});
+  add("lupinsill_calls_total", "Calls on players' connections, by what became of them", true,
+      {{"opened", real(desk.calls)},
+       {"refused", real(desk.callsRefused)},
+       {"deadline", real(desk.deadlines)},
+       {"wrong-word", real(desk.wrongWords)},
+       {"second-answer", real(desk.secondAnswers)}},
       "what");
   add("lupinsill_node_connections", "Connections to media nodes", false, {{"", real(n.connections)}});
   add("lupinsill_node_connections_total", "Connections to media nodes, by what became of them", true,
--- /dev/null
+++ b/src/grpc/messages.cpp
@@ -0,0 +1,231 @@
+#include "grpc/messages.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <google/protobuf/stubs/logging.h>
+
+#include "grpc/health/v1/health.pb.h"
+#include "lupinsill/session/v1/session.pb.h"
+
+namespace lupinsill::grpc {
+namespace {
+
+namespace wire = lupinsill::session::v1;
+using player::AnswerMessage;
+using player::AskMessage;
+using player::Said;
+
+// Guards against strangers who write our log: the library prints a line for each bad message of theirs.
+[[maybe_unused]] const bool silenced = (google::protobuf::SetLogHandler(nullptr), true);
+
+template <class Message>
+bool parse(Message& message, std::string_view bytes) {
+  return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+std::optional<Micros> spanOf(std::uint64_t ms) {
+  if (ms == 0) return std::nullopt;
+  return std::min<Micros>(player::spanMost,
+                          static_cast<Micros>(std::min<std::uint64_t>(ms, 1'000'000'000)) * 1000);
+}
+
+struct Meant {
+  const char* reason;
+  Status status;
+};
+// What a caller that knows only gRPC should make of each.
+constexpr Meant meanings[] = {
+    {"no-room", Status::resourceExhausted},
+    {"busy", Status::resourceExhausted},
+    {"late", Status::unavailable},
+    {"draining", Status::unavailable},
+    {"unknown-title", Status::unavailable},
+    {"may-have-run", Status::aborted},
+    {"ended", Status::alreadyExists},
+    {"elsewhere", Status::failedPrecondition},
+    {"failed", Status::internal},
+    {"node-lost", Status::unavailable},
+    {"director-drains", Status::unavailable},
+    {"finished", Status::ok},
+};
+
+Status statusOf(const AnswerMessage& answer) {
+  if (answer.said == Said::error) return Status::invalidArgument;
+  for (const Meant& meant : meanings)
+    if (answer.reason == meant.reason) return meant.status;
+  return answer.said == Said::throttled ? Status::unavailable : Status::internal;
+}
+
+const char* wordOf(Said said) {
+  switch (said) {
+    case Said::throttled:
+      return "throttled";
+    case Said::terminated:
+      return "terminated";
+    case Said::ended:
+      return "ended";
+    default:
+      return "error";
+  }
+}
+
+}  // namespace
+
+PlayerWord readPlayerWord(std::string_view bytes) {
+  PlayerWord out;
+  wire::FromPlayer from;
+  if (!parse(from, bytes)) return out.fault = "not a message of this service", out;
+  if (from.has_leave()) return out.kind = PlayerWord::Kind::leave, out;
+  if (!from.has_ask()) return out.fault = "ask or leave expected", out;
+  const wire::Ask& ask = from.ask();
+  const auto check = [&](const char* name, const std::string& word, bool needed) {
+    const char* fault = player::faultOf(word, needed);
+    if (fault != nullptr && out.fault.empty()) out.fault = std::string(name) + ": " + fault;
+    return word;
+  };
+  out.ask.key = check("key", ask.key(), true);
+  out.ask.viewer = check("viewer", ask.viewer(), true);
+  out.ask.title = check("title", ask.title(), true);
+  out.ask.room = check("room", ask.room(), true);
+  out.ask.tenant = check("tenant", ask.tenant(), false);
+  out.ask.again = check("again", ask.again(), false);
+  if (ask.has_top()) out.ask.top = static_cast<int>(std::min<std::uint32_t>(ask.top(), 1000));
+  out.ask.timeout = spanOf(ask.timeout_ms());
+  out.ask.length = spanOf(ask.length_ms());
+  if (out.fault.empty()) out.kind = PlayerWord::Kind::ask;
+  return out;
+}
+
+std::string bytesOf(const AskMessage& message) {
+  wire::FromPlayer from;
+  wire::Ask& ask = *from.mutable_ask();
+  ask.set_key(message.key);
+  ask.set_viewer(message.viewer);
+  ask.set_title(message.title);
+  ask.set_room(message.room);
+  ask.set_tenant(message.tenant);
+  ask.set_again(message.again);
+  ask.set_top(static_cast<std::uint32_t>(message.top));
+  if (message.timeout) ask.set_timeout_ms(static_cast<std::uint64_t>(*message.timeout / 1000));
+  if (message.length) ask.set_length_ms(static_cast<std::uint64_t>(*message.length / 1000));
+  return from.SerializeAsString();
+}
+
+std::string leaveBytes() {
+  wire::FromPlayer from;
+  from.mutable_leave();
+  return from.SerializeAsString();
+}
+
+std::string bytesOf(const AnswerMessage& answer) {
+  wire::ToPlayer to;
+  if (answer.said == Said::playing) {
+    wire::Playing& playing = *to.mutable_playing();
+    playing.set_subscription(answer.subscription);
+    playing.set_node(answer.node);
+    playing.set_rung(static_cast<std::uint32_t>(answer.rung));
+    playing.set_ticket(answer.ticket);
+  } else if (answer.said == Said::rung) {
+    to.mutable_rung()->set_rung(static_cast<std::uint32_t>(answer.rung));
+  } else {
+    to.mutable_ended()->set_reason(answer.reason);
+    to.mutable_ended()->set_retry_after_ms(static_cast<std::uint64_t>((answer.retryAfter + 999) / 1000));
+  }
+  return to.SerializeAsString();
+}
+
+std::optional<AnswerMessage> readAnswer(std::string_view bytes) {
+  wire::ToPlayer to;
+  if (!parse(to, bytes)) return std::nullopt;
+  AnswerMessage answer;
+  if (to.has_playing()) {
+    answer.said = Said::playing;
+    answer.subscription = to.playing().subscription();
+    answer.node = to.playing().node();
+    answer.rung = static_cast<int>(std::min<std::uint32_t>(1000, to.playing().rung()));
+    answer.ticket = to.playing().ticket();
+  } else if (to.has_rung()) {
+    answer.said = Said::rung;
+    answer.rung = static_cast<int>(std::min<std::uint32_t>(1000, to.rung().rung()));
+  } else if (to.has_ended()) {
+    answer.said = Said::ended;
+    answer.reason = to.ended().reason();
+    answer.retryAfter = spanOf(to.ended().retry_after_ms()).value_or(0);
+  } else {
+    return std::nullopt;  // a newer director may say more than this knows
+  }
+  return answer;
+}
+
+std::string whoReply(const std::string& director) {
+  wire::WhoReply reply;
+  reply.set_director(director);
+  return reply.SerializeAsString();
+}
+std::optional<std::string> readWhoReply(std::string_view bytes) {
+  wire::WhoReply reply;
+  if (!parse(reply, bytes) || reply.director().empty()) return std::nullopt;
+  return reply.director();
+}
+
+std::optional<std::string> readHealthRequest(std::string_view bytes) {
+  ::grpc::health::v1::HealthCheckRequest request;
+  if (!parse(request, bytes)) return std::nullopt;
+  return request.service();
+}
+
+std::string healthReply(Serving serving) {
+  using Response = ::grpc::health::v1::HealthCheckResponse;
+  Response response;
+  response.set_status(serving == Serving::yes  ? Response::SERVING
+                      : serving == Serving::no ? Response::NOT_SERVING
+                                               : Response::SERVICE_UNKNOWN);
+  return response.SerializeAsString();
+}
+
+Headers trailersOf(Status status, std::string_view message) {
+  Headers out{{"grpc-status", std::to_string(static_cast<int>(status))}};
+  if (!message.empty()) out.emplace_back("grpc-message", percentEncoded(message));
+  return out;
+}
+
+Headers trailersOf(const AnswerMessage& answer) {
+  Headers out = trailersOf(statusOf(answer), answer.reason);
+  out.emplace_back("lupinsill-answer", wordOf(answer.said));
+  out.emplace_back("lupinsill-reason", percentEncoded(answer.reason));
+  const std::string ms = std::to_string((answer.retryAfter + 999) / 1000);
+  if (answer.retryAfter > 0) out.emplace_back("lupinsill-retry-after-ms", ms);
+  // Guards against gRPC's own retries of what may have run: a negative pushback forbids them, whatever policy
+  // the caller has set. After a throttle nothing ran, and they may come when we say.
+  if (answer.said != Said::throttled)
+    out.emplace_back("grpc-retry-pushback-ms", "-1");
+  else if (answer.retryAfter > 0)
+    out.emplace_back("grpc-retry-pushback-ms", ms);
+  return out;
+}
+
+std::string_view valueOf(const Headers& headers, std::string_view name) {
+  for (const auto& [key, value] : headers)
+    if (key == name) return value;
+  return {};
+}
+
+Trailers readTrailers(const Headers& headers) {
+  Trailers out;
+  const std::string status(valueOf(headers, "grpc-status"));
+  out.status = status.empty() ? 2 : std::atoi(status.c_str());
+  out.message = percentDecoded(valueOf(headers, "grpc-message"));
+  const std::string_view word = valueOf(headers, "lupinsill-answer");
+  out.ours = !word.empty();
+  out.answer.said = word == "throttled"    ? Said::throttled
+                    : word == "terminated" ? Said::terminated
+                    : word == "ended"      ? Said::ended
+                                           : Said::error;
+  out.answer.reason = out.ours ? percentDecoded(valueOf(headers, "lupinsill-reason")) : out.message;
+  const std::string ms(valueOf(headers, "lupinsill-retry-after-ms"));
+  out.answer.retryAfter = std::clamp<Micros>(std::atoll(ms.c_str()), 0, player::spanMost / 1000) * 1000;
+  return out;
+}
+
+}  // namespace lupinsill::grpc
--- /dev/null
+++ b/src/grpc/messages.h
@@ -0,0 +1,56 @@
+// The session protocol's messages as protobuf and back (docs/protocol/session-grpc.md), and how an answer
+// becomes a gRPC status. No socket, no meaning. Errors: none thrown; a bad message is told by its fault.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "grpc/http2.h"
+#include "grpc/wire.h"
+#include "player/words.h"
+
+namespace lupinsill::grpc {
+
+inline constexpr std::string_view playPath = "/lupinsill.session.v1.Sessions/Play";
+inline constexpr std::string_view whoPath = "/lupinsill.session.v1.Sessions/Who";
+inline constexpr std::string_view checkPath = "/grpc.health.v1.Health/Check";
+inline constexpr std::string_view watchPath = "/grpc.health.v1.Health/Watch";
+inline constexpr std::string_view sessionsService = "lupinsill.session.v1.Sessions";
+
+struct PlayerWord {
+  enum class Kind { ask, leave, bad } kind = Kind::bad;
+  player::AskMessage ask;
+  std::string fault;
+};
+PlayerWord readPlayerWord(std::string_view bytes);
+std::string bytesOf(const player::AskMessage& ask);
+std::string leaveBytes();
+
+// Playing, rung and ended; the other answers are statuses.
+std::string bytesOf(const player::AnswerMessage& answer);
+std::optional<player::AnswerMessage> readAnswer(std::string_view bytes);
+
+std::string whoReply(const std::string& director);
+std::optional<std::string> readWhoReply(std::string_view bytes);
+
+// Health: the service that is asked after, and the reply.
+std::optional<std::string> readHealthRequest(std::string_view bytes);
+enum class Serving { yes, no, unknownService };
+std::string healthReply(Serving serving);
+
+// The trailers that carry an answer which ends a call. `throttled` may be tried again by gRPC itself
+// (grpc-retry-pushback-ms says when); the others say that it must not be.
+Headers trailersOf(const player::AnswerMessage& answer);
+Headers trailersOf(Status status, std::string_view message);
+// What a client makes of them. `said` is error where they hold no answer of ours.
+struct Trailers {
+  int status = 2;
+  std::string message;
+  player::AnswerMessage answer;
+  bool ours = false;
+};
+Trailers readTrailers(const Headers& headers);
+std::string_view valueOf(const Headers& headers, std::string_view name);
+
+}  // namespace lupinsill::grpc
--- a/src/net/handles.cpp
+++ b/src/net/handles.cpp
@@ -42,6 +42,12 @@
   return ntohs(address.sin_port);
 }
 
+Bev acceptPlain(event_base* base, evutil_socket_t fd) {
+  Bev bev(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!bev) evutil_closesocket(fd);
+  return bev;
+}
+
 Bev connectTo(event_base* base, const std::string& host, int port) {
   sockaddr_in address{};
   if (!addressOf(host, port, address)) return nullptr;
--- a/src/net/handles.h
+++ b/src/net/handles.h
@@ -8,6 +8,7 @@
 #include <event2/listener.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -36,8 +37,13 @@
 Listener listenOn(event_base* base, const std::string& host, int port, evconnlistener_cb onAccept,
                   void* user);
 int portOf(evconnlistener* listener);
+// How an accepted socket becomes a bufferevent, plain or under TLS; null (and the socket closed) where it
+// cannot.
+using Accept = std::function<Bev(event_base* base, evutil_socket_t fd)>;
+Bev acceptPlain(event_base* base, evutil_socket_t fd);
 // A bufferevent that connects; null where the address is unusable.
 Bev connectTo(event_base* base, const std::string& host, int port);
+using Connect = std::function<Bev(event_base* base, const std::string& host, int port)>;
 void noDelay(int fd);
 
 // The one clock of a process: whole microseconds, never back.
--- /dev/null
+++ b/src/player/door.h
@@ -0,0 +1,20 @@
+// A protocol's edge as the director uses it: carries what the desk lets through, and what is due by time.
+#pragma once
+
+#include "intake/desk.h"
+#include "player/words.h"
+
+namespace lupinsill::player {
+
+struct Door {
+  virtual ~Door() = default;
+  // False where the line is not of this door. `ends`: the call is over with it.
+  virtual bool carry(session::Line line, const AnswerMessage& message, bool ends) = 0;
+  // Passed over where the peer is not of this door.
+  virtual void carry(const intake::Due& due) = 0;
+  virtual void closeAll() = 0;
+  virtual void tick(Micros now) = 0;  // frees what has died; some times a second
+  virtual std::size_t sockets() const = 0;
+};
+
+}  // namespace lupinsill::player
--- /dev/null
+++ b/src/player/words.h
@@ -0,0 +1,66 @@
+// What players and a director say to each other, whatever protocol carries it, and the two seams between a
+// protocol's edge and the director. Plain values; no socket, no format. Source: docs/protocol.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "control.h"
+#include "session/front.h"
+
+namespace lupinsill::player {
+
+// Player to director.
+struct AskMessage {
+  std::string id;  // names the ask on its connection, where the protocol needs a name for that
+  std::string key;
+  std::string viewer;
+  std::string title;
+  std::string room;
+  std::string tenant;
+  int top = 1000;
+  std::optional<Micros> timeout;
+  std::optional<Micros> length;
+  std::string again;  // the director this key was sent to before; empty: none
+};
+struct LeaveMessage {
+  std::string id;
+};
+
+// Director to player.
+enum class Said { hello, playing, rung, ended, throttled, terminated, error };
+struct AnswerMessage {
+  Said said = Said::error;
+  std::string id;
+  std::string subscription;
+  std::string node;  // host:port
+  int rung = 0;
+  std::string ticket;
+  std::string director;
+  std::string reason;
+  Micros retryAfter = 0;
+};
+
+inline constexpr std::size_t wordMost = 128;
+inline constexpr Micros spanMost = 24LL * 3600 * 1'000'000;
+
+// Whether a word from outside may be carried on: 1 to `wordMost` bytes without control characters (or none,
+// where it is not needed). A plain reason where it may not.
+inline const char* faultOf(std::string_view word, bool needed) {
+  if ((needed && word.empty()) || word.size() > wordMost) return "1 to 128 bytes expected";
+  for (const char c : word)
+    if (static_cast<unsigned char>(c) < 0x20) return "control character";
+  return nullptr;
+}
+
+// The director, to the protocols' edges.
+struct Ear {
+  virtual ~Ear() = default;
+  // A well-formed ask. False with a reason where it names what this deployment does not have: nothing of it
+  // was taken then.
+  virtual bool asked(session::Line line, const AskMessage& ask, std::string& why) = 0;
+  virtual void left(session::Line line) = 0;
+  virtual void closed(session::Line line) = 0;
+};
+
+}  // namespace lupinsill::player
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -123,6 +123,7 @@
 
   const Element& listen = *root.child("listen");
   d.players = endpointOf(file, listen, listen.text("players"));
+  if (const std::string grpc = listen.text("grpc"); !grpc.empty()) d.grpc = endpointOf(file, listen, grpc);
   d.admin = endpointOf(file, listen, listen.text("admin"));
 
   const Element& list = *root.child("list");
--- a/src/settings/deployment.h
+++ b/src/settings/deployment.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -43,6 +44,7 @@
 struct Deployment {
   std::string name;
   Endpoint players;
+  std::optional<Endpoint> grpc;
   Endpoint admin;
   std::string listFile;
   std::string keptAs;
--- a/src/websocket/messages.cpp
+++ b/src/websocket/messages.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 using Json = nlohmann::json;
-constexpr std::size_t wordMost = 128;
 constexpr std::int64_t spanMost = 24LL * 3600 * 1000;
 
 Json parse(std::string_view text) {
@@ -24,11 +23,8 @@
   }
   if (!it->is_string()) throw BadMessage(1008, std::string(key) + ": not text");
   const auto& value = it->get_ref<const std::string&>();
-  if ((needed && value.empty()) || value.size() > wordMost)
-    throw BadMessage(1008, std::string(key) + ": 1 to 128 bytes expected");
-  for (const char c : value)
-    if (static_cast<unsigned char>(c) < 0x20)
-      throw BadMessage(1008, std::string(key) + ": control character");
+  if (const char* fault = player::faultOf(value, needed); fault != nullptr)
+    throw BadMessage(1008, std::string(key) + ": " + fault);
   return value;
 }
 
--- a/src/websocket/messages.h
+++ b/src/websocket/messages.h
@@ -3,13 +3,12 @@
 // milliseconds.
 #pragma once
 
-#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 
-#include "control.h"
+#include "player/words.h"
 
 namespace lupinsill::websocket {
 
@@ -18,38 +17,12 @@
   int code;
 };
 
-// Player to director.
-struct AskMessage {
-  std::string id;  // names the ask on this socket
-  std::string key;
-  std::string viewer;
-  std::string title;
-  std::string room;
-  std::string tenant;
-  int top = 0;
-  std::optional<Micros> timeout;
-  std::optional<Micros> length;
-  std::string again;  // the director this key was sent to before; empty: none
-};
-struct LeaveMessage {
-  std::string id;
-};
+using player::AnswerMessage;
+using player::AskMessage;
+using player::LeaveMessage;
+using player::Said;
 using PlayerMessage = std::variant<AskMessage, LeaveMessage>;
 
-// Director to player.
-enum class Said { hello, playing, rung, ended, throttled, terminated, error };
-struct AnswerMessage {
-  Said said = Said::error;
-  std::string id;
-  std::string subscription;
-  std::string node;  // host:port
-  int rung = 0;
-  std::string ticket;
-  std::string director;
-  std::string reason;
-  Micros retryAfter = 0;
-};
-
 PlayerMessage readPlayerMessage(std::string_view text);
 std::string textOf(const AskMessage& ask);
 std::string textOf(const LeaveMessage& leave);
--- a/src/websocket/players.h
+++ b/src/websocket/players.h
@@ -1,6 +1,7 @@
-// The director's side of the session protocol: accepts players' sockets, bounds them, turns their messages
-// into asks and carries answers back to the line that asked. Decides nothing about subscriptions. Errors of a
-// socket end that socket only. Owned by the director; not to be moved while it listens.
+// The director's side of the session protocol over WebSocket: accepts players' sockets, turns their messages
+// into asks and carries answers back to the line that asked. What a word means, and who may speak, is the
+// desk's to say. Errors of a socket end that socket only. Owned by the director; not to be moved while it
+// listens.
 #pragma once
 
 #include <map>
@@ -8,7 +9,7 @@
 #include <string>
 
 #include "net/handles.h"
-#include "session/front.h"
+#include "player/door.h"
 #include "settings/deployment.h"
 #include "websocket/channel.h"
 #include "websocket/messages.h"
@@ -16,31 +17,23 @@
 namespace lupinsill::websocket {
 
 struct PlayersFigures {
-  std::uint64_t accepted = 0, refused = 0, badMessages = 0, slow = 0, closed = 0;
-  std::size_t sockets = 0;
+  std::uint64_t badMessages = 0, slow = 0, closed = 0;
 };
 
-class Players final : public Channel::Ear {
+class Players final : public Channel::Ear, public player::Door {
  public:
-  struct Ear {
-    virtual ~Ear() = default;
-    // A well-formed ask. False with a reason where it names what this deployment does not have.
-    virtual bool asked(session::Line line, const AskMessage& ask, std::string& why) = 0;
-    virtual void left(session::Line line) = 0;
-    virtual void closed(session::Line line) = 0;
-  };
-
-  Players(event_base* base, Ear& ear, std::string director, const settings::Endpoint& at,
-          const settings::SocketLimits& limits);
+  Players(event_base* base, player::Ear& ear, intake::Desk& desk, std::string director,
+          const settings::Endpoint& at, const settings::SocketLimits& limits, net::Accept accept);
 
   int port() const { return net::portOf(listener_.get()); }
-  // The line's last message ends it: throttled, terminated and ended.
-  void answer(session::Line line, AnswerMessage message);
+  bool carry(session::Line line, const AnswerMessage& message, bool ends) override;
+  void carry(const intake::Due& due) override;
   void setLimits(const settings::SocketLimits& limits) { limits_ = limits; }
   void stopAccepting() { listener_.reset(); }
-  void closeAll();
-  void tick(Micros now);  // pings, time-outs, and frees what has died; some times a second
-  const PlayersFigures& figures();
+  void closeAll() override;
+  void tick(Micros now) override;
+  std::size_t sockets() const override { return sockets_.size() - dead_.size(); }
+  const PlayersFigures& figures() const { return figures_; }
 
  private:
   struct Socket {
@@ -56,15 +49,17 @@
   void onOpen(Channel& channel) override;
   void onText(Channel& channel, std::string_view text) override;
   void onClosed(Channel& channel, int code) override;
+  void asked(Channel& channel, Socket& socket, const AskMessage& ask);
   void error(Channel& channel, const std::string& id, const std::string& why);
 
   event_base* base_;
-  Ear& ear_;
+  player::Ear& ear_;
+  intake::Desk& desk_;
   std::string director_;
   settings::SocketLimits limits_;
+  net::Accept accept_;
   net::Listener listener_;
-  std::uint64_t nextSocket_ = 0;
-  session::Line nextLine_ = 0;
+  std::uint64_t refused_ = 0;  // counts down from the top: never a peer's number
   std::map<std::uint64_t, Socket> sockets_;
   std::map<session::Line, LineAt> lines_;
   std::vector<std::uint64_t> dead_;
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -15,9 +15,11 @@
 #include <thread>
 
 #include "director/admin.h"
+#include "grpc/transport.h"
 #include "media/rtsp.h"
+#include "session/session_client.h"
 #include "websocket/handshake.h"
-#include "websocket/session_client.h"
+#include "websocket/transport.h"
 
 using namespace lupinsill;
 
@@ -84,7 +86,7 @@
 struct Director {
   std::string folder;
   pid_t pid = 0;
-  int players = 0, admin = 0;
+  int players = 0, admin = 0, grpc = 0;
 
   explicit Director(const std::string& nodes = "", const std::string& limits = "<limits/>") {
     std::string made = std::filesystem::temp_directory_path() / "lupinsill-director-XXXXXX";
@@ -96,6 +98,7 @@
     };
     put("127.0.0.1:7400", "127.0.0.1:0");
     put("127.0.0.1:7401", "127.0.0.1:0");
+    put("127.0.0.1:7402", "127.0.0.1:0");
     put("<limits/>", limits);
     std::ofstream(folder + "/small.xml") << text;
     list(1, nodes);
@@ -120,7 +123,7 @@
       sleepMs(25);
       std::ifstream in(folder + "/ports");
       std::string word;
-      in >> word >> players >> word >> admin;
+      in >> word >> players >> word >> admin >> word >> grpc;
     }
     REQUIRE(admin != 0);
   }
@@ -128,9 +131,19 @@
     kill(pid, signal);
     int status = 0;
     waitpid(pid, &status, 0);
-    pid = players = admin = 0;
+    pid = players = admin = grpc = 0;
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  // The next run listens where this one did, as in service.
+  void keepPorts() const {
+    std::ifstream in(folder + "/small.xml");
+    std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    for (const auto& [name, port] : {std::pair{"players", players}, {"grpc", grpc}}) {
+      const std::string from = std::string(name) + "=\"127.0.0.1:0";
+      text.replace(text.find(from), from.size(), std::string(name) + "=\"127.0.0.1:" + std::to_string(port));
+    }
+    std::ofstream(folder + "/small.xml") << text;
+  }
   ~Director() {
     if (pid != 0) end(SIGKILL);
     std::filesystem::remove_all(folder);
@@ -382,7 +395,9 @@
   int results = 0, ends = 0;
   std::string end;
   client::WishId wish = 0;
-  explicit Asked(std::vector<int> ports) : client(base.get(), at(ports), manners(), 3) {}
+  explicit Asked(std::vector<int> ports, bool grpc = false)
+      : client(base.get(), grpc ? client::makeGrpc(base.get()) : client::makeWebSocket(base.get()), at(ports),
+               manners(), 3) {}
   static std::vector<client::DirectorAt> at(const std::vector<int>& ports) {
     std::vector<client::DirectorAt> list;
     for (const int port : ports) list.push_back({"127.0.0.1:" + std::to_string(port), "here"});
@@ -408,14 +423,10 @@
 TEST_CASE("Client library: a paid ask whose director is killed before it answers is never set up again") {
   Node node;
   Director d(node.entry());
-  // The next run listens where this one did, as in service.
-  const std::string at = "127.0.0.1:" + std::to_string(d.players);
-  std::ifstream in(d.folder + "/small.xml");
-  std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-  text.replace(text.find("127.0.0.1:0"), 11, at);
-  std::ofstream(d.folder + "/small.xml") << text;
+  d.keepPorts();
+  const bool grpc = GENERATE(false, true);
 
-  Asked player({d.players});
+  Asked player({grpc ? d.grpc : d.players}, grpc);
   player.ask("paid-class");
   // The join has reached its node; the answer never comes, and the director dies.
   std::thread loop([&] { player.until([&] { return player.results > 0; }); });
@@ -444,7 +455,8 @@
     const Node gone;
     dead = gone.port;
   }
-  Asked player({dead, d.players});
+  const bool grpc = GENERATE(false, true);
+  Asked player({dead, grpc ? d.grpc : d.players}, grpc);
   player.ask("recipe-clip");
   std::thread loop([&] { player.until([&] { return player.results > 0; }); });
   const media::Message setUp = node.next(), play = node.next();
@@ -465,9 +477,79 @@
     const Node gone;
     dead = gone.port;
   }
-  Asked player({dead});
+  Asked player({dead}, GENERATE(false, true));
   player.ask("paid-class", 5'000'000);
   player.until([&] { return player.results > 0; });
   REQUIRE(player.results == 1);
   CHECK(player.heard.result == client::Result::unreachable);
 }
+
+TEST_CASE("The same paid ask over the other protocol is answered from the first join") {
+  Node node;
+  Director d(node.entry());
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a", "paid-class")));
+  const media::Message setUp = node.next(), play = node.next();
+  // While the first join is out, and its socket cut.
+  const net::Base base(event_base_new());
+  struct Ear final : client::LinkEar {
+    std::unique_ptr<client::Link> link;
+    std::vector<player::AnswerMessage> answers;
+    void onHello(const std::string&) override {
+      player::AskMessage ask;
+      ask.key = "front-1:k", ask.viewer = "v", ask.title = "t", ask.room = "paid-class";
+      link->ask(ask);
+    }
+    void onAnswer(const player::AnswerMessage& answer) override { answers.push_back(answer); }
+    void onLost(bool) override {}
+  };
+  // Twenty repeats at once, on one connection.
+  const auto transport = client::makeGrpc(base.get());
+  std::vector<Ear> ears(20);
+  for (Ear& ear : ears) ear.link = transport->open("127.0.0.1:" + std::to_string(d.grpc), 3'000'000, ear);
+  spin(base.get(), 300, [] { return false; });
+  shutdown(player.fd, SHUT_RDWR);
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  const auto all = [&] {
+    return std::all_of(ears.begin(), ears.end(), [](const Ear& e) { return !e.answers.empty(); });
+  };
+  spin(base.get(), 5000, all);
+  REQUIRE(all());
+  for (const Ear& ear : ears) {
+    CHECK(ear.answers.size() == 1);
+    CHECK(ear.answers[0].said == player::Said::playing);
+    CHECK(ear.answers[0].subscription == ears[0].answers[0].subscription);
+  }
+  CHECK(has(d.page("/metrics"), "lupinsill_joins_total{join=\"first\"} 1"));
+  // One that leaves ends it for none of the others.
+  ears[0].link->leave();
+  spin(base.get(), 200, [] { return false; });
+  CHECK(has(d.page("/status"), "\"subscriptions\": 1"));
+  ears.clear();
+}
+
+TEST_CASE("A drain over gRPC ends no call: two GOAWAYs, what plays goes on, a late ask is throttled") {
+  Node node;
+  Director d(node.entry());
+  Asked player({d.grpc}, true);
+  player.ask("recipe-clip");
+  std::thread loop([&] { player.until([&] { return player.results > 0; }); });
+  const media::Message setUp = node.next(), play = node.next();
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  loop.join();
+  REQUIRE(player.results == 1);
+  d.page("/drain", "POST");
+  spin(player.base.get(), 1500, [] { return false; });
+  CHECK(player.ends == 0);
+  CHECK(has(d.page("/status"), "\"subscriptions\": 1"));
+  player.client.leave(player.wish);
+  spin(player.base.get(), 300, [] { return false; });
+  CHECK(node.next().method == "TEARDOWN");
+  int status = 0;
+  waitpid(d.pid, &status, 0);
+  CHECK(WEXITSTATUS(status) == 0);
+  d.pid = 0;
+}
