--- a/client/core/core.cpp
+++ b/client/core/core.cpp
@@ -203,17 +203,21 @@
 bool Core::choose(Micros now, const Held& held, std::size_t& director, Micros& freeAt) {
   freeAt = never;
   std::vector<std::size_t> near, far;
+  std::size_t soonest = directors_.size();
   for (std::size_t i = 0; i < directors_.size(); ++i) {
     const Known& known = directors_[i];
     if (!held.bound.empty() && known.at.address != held.bound) continue;
     // A bound wish has nowhere else to go: its waits are its own, not those of the director's other callers.
     if (known.shunUntil > now && held.bound.empty()) {
-      freeAt = std::min(freeAt, known.shunUntil);
+      if (known.shunUntil < freeAt) freeAt = known.shunUntil, soonest = i;
       continue;
     }
     (known.at.building == manners_.building ? near : far).push_back(i);
   }
   const std::vector<std::size_t>& from = near.empty() ? far : near;
+  // Guards against a client that turns its viewers away unasked: where every director fails some asks, all of
+  // them are shunned at once. A first try is nobody's storm, and goes to the one that is free the soonest.
+  if (from.empty() && held.tries == 0 && soonest < directors_.size()) return director = soonest, true;
   if (from.empty()) return false;
   director = from[chance_() % from.size()];
   return true;
--- a/client/core/core.h
+++ b/client/core/core.h
@@ -11,6 +11,7 @@
 //  4. No try leaves before the time that the last answer asked to wait.
 //  5. Tries beyond a wish's first stay within the budget: in any window, a few and a share of first tries.
 //  6. Directors of the own building come first; one that fails is left alone for a while, longer each time.
+//     Where all of them are, a wish's first try is still made, and no further one.
 #pragma once
 
 #include <cstdint>
--- a/client/session/session_client.cpp
+++ b/client/session/session_client.cpp
@@ -14,7 +14,8 @@
   Want want;
   std::string key;
   std::string keySent;
-  std::string sentTo;        // the name of the director that may have taken it
+  std::string sentTo;  // the name of the director that may have taken it
+  Micros firstSentAt = 0;
   std::string sentToBefore;  // this try
   Heard last;
   TryId plays = 0;
@@ -130,6 +131,10 @@
   // Guards against a director that answers after the client gave up: it knows how long there is.
   ask.timeout = std::max<Micros>(1'000, line.endsAt - now);
   ask.again = wished.sentTo;
+  if (wished.sentTo.empty())
+    wished.firstSentAt = now;
+  else
+    ask.againAge = now - wished.firstSentAt;
   core_.sent(now, line.attempt);
   wished.sentToBefore = wished.sentTo;
   wished.sentTo = director;
--- /dev/null
+++ b/client/typescript/tests/core.test.ts
@@ -0,0 +1,52 @@
+// The core in TypeScript does what the core in C++ does, act for act, over random sequences of events.
+import assert from "node:assert/strict";
+import { execFileSync } from "node:child_process";
+import { test } from "node:test";
+import { Core, usualManners } from "../../core/core.js";
+import type { Act, Answer } from "../../core/core.js";
+
+interface Event {
+  now: number;
+  event: string;
+  id: number;
+  key: string;
+  unsafe: boolean;
+  timeout: number;
+  attempt: number;
+  unread: boolean;
+  answer: Answer;
+  retryAfter: number;
+  drains: boolean;
+  acts: Act[];
+  due: number;
+}
+
+const traces = process.env["LUPINSILL_TRACES"];
+
+test("random sequences give the same acts in both languages", { skip: traces === undefined }, () => {
+  const text = execFileSync(traces!, ["200", "1"], { encoding: "utf8", maxBuffer: 1 << 30 });
+  let acts = 0;
+  for (const line of text.split("\n").filter((l) => l !== "")) {
+    const trace = JSON.parse(line) as { seed: number; events: Event[] };
+    const places = [
+      { address: "a:1", building: "north" },
+      { address: "b:1", building: "north" },
+      { address: "c:1", building: "south" },
+    ];
+    const core = new Core(places, { ...usualManners, building: "north" }, trace.seed);
+    trace.events.forEach((e, step) => {
+      const out: Act[] = [];
+      if (e.event === "want")
+        core.want(e.now, { id: e.id, key: e.key, unsafe: e.unsafe, timeout: e.timeout }, out);
+      else if (e.event === "sent") core.sent(e.now, e.attempt);
+      else if (e.event === "failed") core.failed(e.now, e.attempt, out, e.unread);
+      else if (e.event === "answered") core.answered(e.now, e.attempt, e.answer, e.retryAfter, e.drains, out);
+      else if (e.event === "cancel") core.cancel(e.now, e.id, out);
+      else core.tick(e.now, out);
+      assert.deepEqual(out, e.acts, `seed ${trace.seed}, step ${step}`);
+      assert.equal(core.due(), e.due, `seed ${trace.seed}, step ${step}`);
+      acts += out.length;
+    });
+  }
+  assert.ok(acts > 4_000);
+});
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 #include "baseline/baseline.h"
 #include "director/admin.h"
 #include "director/director.h"
+#include "lab/clients.h"
 #include "lab/import.h"
 #include "lab/plant.h"
 #include "lab/run.h"
@@ -65,6 +66,19 @@
   return 0;
 }
 
+int playClients(const lab::ClientsOptions& options) {
+  const lab::ClientsResult result = lab::runClients(options);
+  std::fputs(lab::shown(result).c_str(), stdout);
+  if (!options.plant.empty()) {
+    std::printf("plant %s: %s\n", options.plant.c_str(), result.findings.empty() ? "NOT caught" : "caught");
+    return result.findings.empty() ? refused : found;
+  }
+  if (!result.findings.empty()) return complain(found, std::to_string(result.findings.size()) + " findings");
+  std::printf("%zu sequences, %zu libraries: alike, no paid wish set up twice\n", result.sequences.size(),
+              result.libraries.size());
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -135,6 +149,24 @@
   CLI::App* plants = labs->add_subcommand("plants", "List the faults that can be planted");
   plants->footer("Example: lupinsill lab plants");
 
+  lab::ClientsOptions clientsOptions;
+  CLI::App* clients =
+      labs->add_subcommand("clients", "Play scripted sequences through every client library and compare");
+  clients->add_option("--sequences", clientsOptions.sequences, "How many are drawn")->capture_default_str();
+  clients->add_option("--seed", clientsOptions.seed, "Seed of what is drawn")->capture_default_str();
+  clients->add_option("--script", clientsOptions.scriptFile,
+                      "Play this file instead (docs/protocol/script.md)");
+  clients->add_option("--settings", clientsOptions.settingsFile, "Settings of the directors")
+      ->default_str("examples/clients.xml");
+  clients->add_option("--typescript", clientsOptions.player,
+                      "The TypeScript library's play.js; left out, that library is not played");
+  clients->add_option("--plant", clientsOptions.plant,
+                      "ledger-forgets or budget-ignored; ends 1 where caught");
+  clients->add_option("--keep", clientsOptions.keepIn, "Keep settings and logs in this folder");
+  clients->footer(
+      "Example: lupinsill lab clients --seed 1 --typescript "
+      "client/typescript/dist/typescript/tools/play.js");
+
   std::string benchDay, into;
   CLI::App* import = labs->add_subcommand("import", "Make a day of the lab with the troubles of a bench day");
   import->add_option("day", benchDay, "Day file of the operators' bench (JSON)")->required();
@@ -175,6 +207,14 @@
     if (nodes->parsed()) return askDirector(admin, "GET", "/nodes");
     if (metrics->parsed()) return askDirector(admin, "GET", "/metrics");
     if (drain->parsed()) return askDirector(admin, "POST", off ? "/undrain" : "/drain");
+    if (clients->parsed()) {
+      if (clientsOptions.settingsFile.empty()) clientsOptions.settingsFile = "examples/clients.xml";
+      if (!clientsOptions.plant.empty() && clientsOptions.plant != "ledger-forgets" &&
+          clientsOptions.plant != "budget-ignored")
+        return complain(wrong,
+                        "--plant " + clientsOptions.plant + ": expected ledger-forgets or budget-ignored");
+      return playClients(clientsOptions);
+    }
     if (plants->parsed()) {
       for (const lab::Plant& p : lab::plants()) std::printf("%s\n", p.name);
       return 0;
--- a/src/director/director.cpp
+++ b/src/director/director.cpp
@@ -51,7 +51,7 @@
   void left(session::Line line) override { front_.leave(line), asked_.erase(line); }
   void closed(session::Line line) override { front_.closed(line), asked_.erase(line); }
   void written(session::JoinKey join) override { front_.written(join); }
-  void began(session::JoinKey join) override { front_.began(join); }
+  void began(session::JoinKey join) override;
   void ended(session::JoinKey join, Outcome outcome, const LoadReport& report, bool finished) override {
     front_.ended(join, outcome, report, finished);
   }
@@ -87,6 +87,7 @@
   std::string runName_;  // of this run: subscriptions of an earlier one are others
   ticket::KeyRing ticketKeys_;
   net::Base base_;
+  std::unique_ptr<net::Tls> webTls_, grpcTls_, nodesTls_;  // where the settings name files
   fleet::Membership membership_;
   session::Front front_;
   media::Nodes nodes_;
@@ -108,6 +109,13 @@
   std::unique_ptr<store::Store> store_;
   std::vector<net::Event> signals_;
   std::map<session::Line, AskedAt> asked_;
+  // For the lab's hooks alone: what a step is about, and calls to cut once the loop is out of their
+  // callbacks.
+  std::map<session::Line, std::string> titles_;
+  std::map<session::JoinKey, std::string> joinTitles_;
+  std::vector<std::string> turnTitles_;
+  std::vector<session::Line> cuts_;
+  bool cutAt(Step step, session::Line line);
   prometheus::Registry registry_;
   std::vector<prometheus::Histogram*> answerTimes_;  // by room type and kind of answer
   std::vector<session::Order> orders_;
@@ -150,6 +158,21 @@
   return std::make_unique<session::ByControl>(terms, seed);
 }
 
+std::unique_ptr<net::Tls> tlsOf(net::Tls::Side side, const net::TlsFiles& files, const char* protocol) {
+  return files.empty() ? nullptr : std::make_unique<net::Tls>(side, files, protocol);
+}
+
+net::Accept acceptOf(const net::Tls* tls) {
+  if (tls == nullptr) return net::acceptPlain;
+  return [tls](event_base* base, evutil_socket_t fd) { return tls->accept(base, fd); };
+}
+
+net::Connect connectOf(const net::Tls* tls) {
+  if (tls == nullptr) return net::connectTo;
+  return
+      [tls](event_base* base, const std::string& host, int port) { return tls->connect(base, host, port); };
+}
+
 intake::Bounds deskBounds(const settings::Deployment& deployment) {
   intake::Bounds bounds;
   bounds.peers = static_cast<std::size_t>(deployment.sockets.connections);
@@ -181,9 +204,12 @@
       deployment_(settings::readDeployment(start.settingsFile)),
       runName_(deployment_.name + "-" + runToken()),
       base_(event_base_new()),
+      webTls_(tlsOf(net::Tls::Side::server, deployment_.playersTls, "http/1.1")),
+      grpcTls_(tlsOf(net::Tls::Side::server, deployment_.playersTls, "h2")),
+      nodesTls_(tlsOf(net::Tls::Side::client, deployment_.nodesTls, "")),
       membership_(deployment_.terms.cells, deployment_.leastKept, deployment_.bounds.grace),
       front_(deployment_.terms, boundsOf(deployment_, start.hooks), deciderOf(start, deployment_.terms)),
-      nodes_(base_.get(), *this, runName_, deployment_.nodes),
+      nodes_(base_.get(), *this, runName_, deployment_.nodes, connectOf(nodesTls_.get())),
       reception_({deployment_.name, deployment_.roomTypes, deployment_.tenants, deployment_.clientTimeouts},
                  deployment_.terms.roomTypes),
       desk_(deskBounds(deployment_)) {
@@ -210,12 +236,13 @@
   }
   look(true);
 
-  players_ = std::make_unique<websocket::Players>(base_.get(), *this, desk_, deployment_.name,
-                                                  deployment_.players, deployment_.sockets, net::acceptPlain);
+  players_ =
+      std::make_unique<websocket::Players>(base_.get(), *this, desk_, deployment_.name, deployment_.players,
+                                           deployment_.sockets, acceptOf(webTls_.get()));
   doors_.push_back(players_.get());
   if (deployment_.grpc) {
     calls_ = std::make_unique<grpc::Calls>(base_.get(), *this, desk_, deployment_.name, *deployment_.grpc,
-                                           deployment_.sockets, net::acceptPlain);
+                                           deployment_.sockets, acceptOf(grpcTls_.get()));
     doors_.push_back(calls_.get());
   }
   admin_ =
@@ -254,8 +281,13 @@
                                             if (write(fd, &one, sizeof one) < 0) return;  // full: it is awake
                                           });
   const store::Found& found = store_->found();
-  front_.recover(net::monotonicNow(), found.records, found.whole);
-  if (found.whole)
+  // Guards against a ledger that was deleted, which looks like a first start: who says "again" is believed
+  // then, and a first start has nobody who could say so in earnest.
+  front_.recover(net::monotonicNow(), found.records, found.whole && !found.fresh);
+  if (found.whole && found.fresh)
+    log(Level::warn, "ledger-new",
+        {{"file", deployment_.ledgerFile}, {"so", "repeats that say so are answered as if they had run"}});
+  else if (found.whole)
     log(Level::info, "ledger", {{"records", std::to_string(found.records.size())}});
   else
     log(Level::error, "ledger-damaged",
@@ -299,6 +331,8 @@
       for (int pass = 0; pass < catchUpPasses; ++pass) event_base_loop(base_.get(), EVLOOP_NONBLOCK);
     last = net::monotonicNow();
     turn();
+    for (const session::Line line : std::exchange(cuts_, {}))
+      for (player::Door* door : doors_) door->cut(line);
     if (last - housedAt_ >= housekeeping) house();
     if (stopping_ && stopAt_ == 0) {
       for (player::Door* door : doors_) door->closeAll();
@@ -336,6 +370,8 @@
   orders_.clear();
   front_.turn(now, orders_);
   if (start_.hooks.tamper) start_.hooks.tamper(now, orders_);
+  if (start_.hooks.at)
+    for (const std::string& title : std::exchange(turnTitles_, {})) start_.hooks.at(Step::askDecided, title);
   for (const session::Order& order : orders_) carry(order);
   if (store_) store_->write(front_.takeWrites());
 }
@@ -346,6 +382,15 @@
   const Micros now = net::monotonicNow();
   auto read = reception_.read(line, ask, desk_.timeLeft(now, line), membership_, why);
   if (!read) return false;
+  if (start_.hooks.at) {
+    titles_[line] = read->title;
+    if (cutAt(Step::askRead, line)) return true;
+    if (start_.hooks.at(Step::askRead, read->title) == Fate::refuse) {
+      carry(session::Throttled{line, 100'000, session::WhyThrottled::busy});
+      return true;
+    }
+    turnTitles_.push_back(read->title);
+  }
   asked_[line] = {now, read->roomType};
   front_.ask(std::move(*read));
   return true;
@@ -373,6 +418,19 @@
       answerTimes_.push_back(&family.Add({{"answer", answer}, {"room", room}}, bounds));
 }
 
+bool Director::cutAt(Step step, session::Line line) {
+  const auto it = titles_.find(line);
+  if (it == titles_.end() || start_.hooks.at(step, it->second) != Fate::cut) return false;
+  cuts_.push_back(line);
+  return true;
+}
+
+void Director::began(session::JoinKey join) {
+  if (const auto it = joinTitles_.find(join); it != joinTitles_.end())
+    start_.hooks.at(Step::joinBegan, it->second);
+  front_.began(join);
+}
+
 void Director::say(session::Line line, const player::AnswerMessage& message) {
   using player::Said;
   const intake::Tell tell = message.said == Said::playing      ? intake::Tell::playing
@@ -381,6 +439,9 @@
                             : message.said == Said::rung       ? intake::Tell::rung
                             : message.said == Said::ended      ? intake::Tell::ended
                                                                : intake::Tell::error;
+  const bool answer =
+      tell == intake::Tell::playing || tell == intake::Tell::throttled || tell == intake::Tell::terminated;
+  if (start_.hooks.at && answer && cutAt(Step::answerDecided, line)) return;
   const intake::Send send = desk_.tell(line, tell);
   if (send == intake::Send::no) return;
   for (player::Door* door : doors_)
@@ -437,6 +498,10 @@
   } else if (const auto* setUp = std::get_if<session::SetUp>(&order)) {
     const fleet::Box* box = membership_.find(setUp->node);
     if (box == nullptr) return front_.ended(setUp->join, Outcome::connectFailed, {}, false);
+    if (start_.hooks.at) {
+      joinTitles_[setUp->join] = setUp->title;
+      start_.hooks.at(Step::joinLeaves, setUp->title);
+    }
     nodes_.setUp(*setUp, *box, deployment_.roomTypes[static_cast<std::size_t>(setUp->roomType)]);
   } else if (const auto* change = std::get_if<session::ChangeRung>(&order)) {
     nodes_.change(*change);
@@ -508,6 +573,13 @@
       return log(Level::error, "reload-refused", {{"needs a restart", names}});
     }
     if (!next.ticketKeyFile.empty()) ticketKeys_ = ticket::readKeys(next.ticketKeyFile);
+    // Each is read before any is taken over: certificates of two dates would not fit each other.
+    std::unique_ptr<net::Tls> web = tlsOf(net::Tls::Side::server, next.playersTls, "http/1.1");
+    std::unique_ptr<net::Tls> second = tlsOf(net::Tls::Side::server, next.playersTls, "h2");
+    std::unique_ptr<net::Tls> nodes = tlsOf(net::Tls::Side::client, next.nodesTls, "");
+    if (web) webTls_->takeOver(*web);
+    if (second) grpcTls_->takeOver(*second);
+    if (nodes) nodesTls_->takeOver(*nodes);
     deployment_ = std::move(next);
     setUpLog(deployment_.logLevel, deployment_.logForm, deployment_.name);
     players_->setLimits(deployment_.sockets);
--- a/src/director/director.h
+++ b/src/director/director.h
@@ -15,10 +15,16 @@
 
 namespace lupinsill::director {
 
+// The steps between an ask and its answer, at which the lab may kill a director, cut a call or (an
+// ask that was read) refuse it.
+enum class Step { askRead, askDecided, joinLeaves, joinBegan, answerDecided };
+enum class Fate { go, cut, refuse };
+
 // Where a measurement or the lab's planted faults reach in; empty in service.
 struct Hooks {
   std::function<std::unique_ptr<session::Decider>(const Terms& terms, std::uint64_t seed)> decider;
   std::function<void(Micros now, std::vector<session::Order>& orders)> tamper;
+  std::function<Fate(Step step, const std::string& title)> at;
   bool guarded = true;
   bool recorded = true;  // whether the ledger's store is used
 };
--- a/src/grpc/calls.cpp
+++ b/src/grpc/calls.cpp
@@ -262,6 +262,11 @@
   dead_.push_back(connection.tag);
 }
 
+void Calls::cut(session::Line line) {
+  if (const auto it = lines_.find(line); it != lines_.end())
+    peers_.at(it->second.peer).connection->reset(it->second.stream, NGHTTP2_INTERNAL_ERROR);
+}
+
 void Calls::closeAll() {
   for (auto& [id, peer] : peers_) {
     // Calls that never asked hold nothing that the front would answer.
--- a/src/grpc/calls.h
+++ b/src/grpc/calls.h
@@ -31,6 +31,7 @@
   void setServing(bool serving);
   bool carry(session::Line line, const player::AnswerMessage& message, bool ends) override;
   void carry(const intake::Due& due) override;
+  void cut(session::Line line) override;
   void closeAll() override;
   void tick(Micros now) override;
   std::size_t sockets() const override { return peers_.size() - dead_.size(); }
--- a/src/grpc/messages.cpp
+++ b/src/grpc/messages.cpp
@@ -93,6 +93,7 @@
   if (ask.has_top()) out.ask.top = static_cast<int>(std::min<std::uint32_t>(ask.top(), 1000));
   out.ask.timeout = spanOf(ask.timeout_ms());
   out.ask.length = spanOf(ask.length_ms());
+  if (ask.has_again_ms()) out.ask.againAge = spanOf(ask.again_ms()).value_or(0);
   if (out.fault.empty()) out.kind = PlayerWord::Kind::ask;
   return out;
 }
@@ -108,6 +109,8 @@
   ask.set_again(message.again);
   ask.set_top(static_cast<std::uint32_t>(message.top));
   if (message.timeout) ask.set_timeout_ms(static_cast<std::uint64_t>(*message.timeout / 1000));
+  // Rounded up: the key must not look younger than it is.
+  if (message.againAge) ask.set_again_ms(static_cast<std::uint64_t>((*message.againAge + 999) / 1000));
   if (message.length) ask.set_length_ms(static_cast<std::uint64_t>(*message.length / 1000));
   return from.SerializeAsString();
 }
--- a/src/intake/reception.cpp
+++ b/src/intake/reception.cpp
@@ -41,6 +41,7 @@
   if (ask.timeout) out.timeout = std::min(out.timeout, *ask.timeout);
   if (left) out.timeout = std::min(out.timeout, *left);
   out.length = ask.length;
+  out.againAge = ask.againAge;
   out.again = foreign || (!ask.again.empty() && ask.again != names_.director) ? session::Ask::Again::elsewhere
               : ask.again.empty()                                             ? session::Ask::Again::no
                                                                               : session::Ask::Again::here;
--- /dev/null
+++ b/src/lab/clients.h
@@ -0,0 +1,43 @@
+// `lupinsill lab clients`: the same scripted sequences through every client library against real directors
+// and nodes that count, and what a crowd does when directors fail. Errors: std::runtime_error where a
+// director or the TypeScript player does not start.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "script/script.h"
+
+namespace lupinsill::lab {
+
+struct ClientsOptions {
+  int sequences = 2000;
+  std::uint64_t seed = 1;
+  std::string settingsFile;
+  std::string scriptFile;  // empty: drawn
+  std::string player;      // the TypeScript library's play.js; empty: that library is left out
+  std::string plant;       // ledger-forgets, budget-ignored
+  std::string keepIn;
+};
+
+// A crowd of safe wishes while every director fails a share of asks.
+struct Storm {
+  std::string who, plan;
+  double share = 0;
+  int wishes = 0, playing = 0;
+  std::uint64_t asks = 0;     // sent
+  std::uint64_t askMost = 0;  // that the budget allows; 0: none is stated
+};
+
+struct ClientsResult {
+  std::vector<script::Sequence> sequences;
+  std::vector<script::Library> libraries;
+  std::vector<script::Finding> findings;
+  std::vector<Storm> storms;
+};
+
+ClientsResult runClients(const ClientsOptions& options);
+std::string shown(const ClientsResult& result);
+
+}  // namespace lupinsill::lab
--- a/src/lab/plant.cpp
+++ b/src/lab/plant.cpp
@@ -1,9 +1,13 @@
 #include "lab/plant.h"
 
 #include <algorithm>
+#include <csignal>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -79,6 +83,38 @@
   std::map<SubId, int> rooms_;
 };
 
+// Faults that a title names (src/script): a director that dies at a step, or cuts a call there. It does each
+// once; one that died knows by a mark in its folder that it did.
+struct ByTitle {
+  std::map<std::string, int> cuts;
+  std::minstd_rand chance{11};
+
+  director::Fate operator()(director::Step step, const std::string& title) {
+    const std::string plan = title.substr(0, title.find('.'));
+    static const std::map<std::string, director::Step> deaths{
+        {"kill-ask-read", director::Step::askRead},
+        {"kill-ask-decided", director::Step::askDecided},
+        {"kill-join-leaves", director::Step::joinLeaves},
+        {"kill-join-began", director::Step::joinBegan},
+        {"kill-answer-decided", director::Step::answerDecided},
+    };
+    if (const auto it = deaths.find(plan); it != deaths.end() && it->second == step) {
+      const std::string mark = "died-of-" + title;
+      if (std::filesystem::exists(mark)) return director::Fate::go;
+      std::ofstream(mark) << "once\n";
+      raise(SIGKILL);
+    }
+    if (step == director::Step::askRead && (plan == "all" || (plan == "half" && chance() / 7 % 2 == 0)))
+      return director::Fate::cut;
+    if (step == director::Step::askRead && plan == "refuse") return director::Fate::refuse;
+    const int most = plan == "lose" || plan == "lose-err" || plan == "unheard" ? 1 : plan == "twice" ? 2 : 0;
+    const auto where = plan == "unheard" ? director::Step::askRead : director::Step::answerDecided;
+    if (most == 0 || step != where || cuts[title] >= most) return director::Fate::go;
+    ++cuts[title];
+    return director::Fate::cut;
+  }
+};
+
 bool isAnswer(const Order& order) {
   return std::holds_alternative<session::Playing>(order) ||
          std::holds_alternative<session::Throttled>(order) ||
@@ -151,6 +187,12 @@
 }
 
 director::Hooks hooksOf(const std::string& name) {
+  if (name == "titles" || name == "titles-unrecorded") {
+    director::Hooks titled;
+    titled.at = ByTitle();
+    titled.recorded = name == "titles";
+    return titled;
+  }
   if (findPlant(name) == nullptr)
     throw std::runtime_error("plant '" + name + "': see `lupinsill lab plants`");
   director::Hooks hooks;
--- a/src/lab/processes.cpp
+++ b/src/lab/processes.cpp
@@ -62,8 +62,8 @@
 
 }  // namespace
 
-Processes::Processes(const Day& day, std::string folder, std::vector<std::string> extraArguments)
-    : day_(day), folder_(std::move(folder)), extra_(std::move(extraArguments)) {
+Processes::Processes(const Day& day, std::string folder, std::vector<std::string> extraArguments, bool grpc)
+    : grpc_(grpc), day_(day), folder_(std::move(folder)), extra_(std::move(extraArguments)) {
   places_.resize(static_cast<std::size_t>(day.directors));
   for (int place = 0; place < day.directors; ++place) {
     Place& p = places_[static_cast<std::size_t>(place)];
@@ -96,8 +96,9 @@
   put(root, "director", "ordinal", std::to_string(place));
   put(root, "director", "of", std::to_string(day_.directors));
   put(root, "director", "zone", "zone" + std::to_string(p.zone));
-  put(root, "listen", "players", "127.0.0.1:0");
+  put(root, "listen", "players", "127.0.0.1:" + std::to_string(p.players));
   put(root, "listen", "admin", "127.0.0.1:0");
+  if (grpc_) put(root, "listen", "grpc", "127.0.0.1:" + std::to_string(p.grpc));
   put(root, "list", "file", listFile());
   put(root, "list", "kept-as", p.folder + "/last-list.xml");
   std::ofstream out(p.folder + "/settings.xml");
@@ -121,6 +122,7 @@
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != lab) _exit(9);
+    if (grpc_ && chdir(p.folder.c_str()) != 0) _exit(9);  // marks of faults done are kept there
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     if (fd >= 0) dup2(fd, 2), dup2(fd, 1);
     execv("/proc/self/exe", arguments.data());
@@ -137,9 +139,33 @@
     std::string word;
     int players = 0, admin = 0;
     if (in >> word >> players >> word >> admin) p.players = players, p.admin = admin;
+    if (grpc_) in >> word >> p.grpc;
   }
 }
 
+void Processes::keepPorts() {
+  for (int place = 0; place < static_cast<int>(places_.size()); ++place) writeSettings(place);
+}
+
+std::vector<int> Processes::ended() {
+  std::vector<int> out;
+  for (std::size_t i = 0; i < places_.size(); ++i) {
+    Place& p = places_[i];
+    siginfo_t info{};
+    if (p.pid <= 0 || waitid(P_PID, static_cast<id_t>(p.pid), &info, WEXITED | WNOHANG | WNOWAIT) != 0 ||
+        info.si_pid != p.pid)
+      continue;
+    reap(p.pid);
+    p.pid = p.players = p.admin = 0;
+    out.push_back(static_cast<int>(i));
+  }
+  return out;
+}
+
+void Processes::kill(int place) {
+  if (const Place& p = places_[static_cast<std::size_t>(place)]; p.pid > 0) ::kill(p.pid, SIGKILL);
+}
+
 void Processes::kill(int place, Micros now, audit::Record& record) {
   Place& p = places_[static_cast<std::size_t>(place)];
   if (p.pid <= 0) return;
--- a/src/lab/processes.h
+++ b/src/lab/processes.h
@@ -19,13 +19,14 @@
   int zone = 0;
   int players = 0;  // port, 0 while it is down
   int admin = 0;
+  int grpc = 0;  // where it is asked for
   Micros stoppedAt = -1;
   std::string folder;
 };
 
 class Processes {
  public:
-  Processes(const Day& day, std::string folder, std::vector<std::string> extraArguments);
+  Processes(const Day& day, std::string folder, std::vector<std::string> extraArguments, bool grpc = false);
   ~Processes();
   Processes(const Processes&) = delete;
   Processes& operator=(const Processes&) = delete;
@@ -33,6 +34,11 @@
   void start(int place);
   // Reads the ports of those that have come up since.
   void look();
+  // From now on each starts on the ports that it has, as in service.
+  void keepPorts();
+  // The places of those that ended by themselves since; they may be started again.
+  std::vector<int> ended();
+  void kill(int place);
   void kill(int place, Micros now, audit::Record& record);
   void stop(int place, Micros now);  // SIGSTOP
   void go(int place, Micros now, audit::Record& record);
@@ -45,6 +51,7 @@
  private:
   void writeSettings(int place);
   void reap(pid_t pid);
+  bool grpc_;
   const Day& day_;
   std::string folder_;
   std::vector<std::string> extra_;
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -30,6 +30,8 @@
 }
 
 void Ledger::recover(Micros now, const std::vector<Record>& records, bool whole) {
+  // No digest of a key is all zeros: under that name the file itself says that one before it was lost.
+  const Digest lost{};
   if (!whole) doubtUntil_ = now + memory_;
   std::vector<Record> sorted = records;
   std::sort(sorted.begin(), sorted.end(), [](const Record& a, const Record& b) {
@@ -44,9 +46,15 @@
                                                     : record.mark;
     // A clock set back must not make a record outlive its memory, or the file would never empty.
     const Micros until = std::min(record.until, now + memory_);
+    if (record.key == lost) {
+      doubtUntil_ = std::max(doubtUntil_, until);
+      continue;
+    }
     records_[record.key] = {mark, until};
     order_.emplace_back(until, record.key);
   }
+  // Guards against a second restart that finds the new file whole and forgets that the old one is gone.
+  if (!whole && stored_) writes_.push_back({++next_, {lost, Mark::mayHaveRun, doubtUntil_}});
 }
 
 void Ledger::put(Micros now, const Digest& key, Mark mark) {
@@ -80,12 +88,13 @@
   put(now, key, mark);
 }
 
-Known Ledger::knows(Micros now, const Digest& key, bool saidToBeRepeat) const {
+Known Ledger::knows(Micros now, const Digest& key, bool saidToBeRepeat,
+                    std::optional<Micros> firstSentAt) const {
   const auto it = records_.find(key);
   if (it != records_.end() && now < it->second.until)
     return it->second.mark == Mark::over || it->second.mark == Mark::played ? Known::played
                                                                             : Known::mayHaveRun;
-  return saidToBeRepeat && doubtful(now) ? Known::mayHaveRun : Known::nothing;
+  return saidToBeRepeat && doubtful(now, firstSentAt) ? Known::mayHaveRun : Known::nothing;
 }
 
 std::vector<Write> Ledger::takeWrites() {
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -65,10 +66,16 @@
   // A number to wait for: the join may leave once isDurable() says so.
   Seq intend(Micros now, const Digest& key);
   void mark(Micros now, const Digest& key, Mark mark);
-  Known knows(Micros now, const Digest& key, bool saidToBeRepeat) const;
+  // `firstSentAt`: when the key was first sent at the earliest, where its client said so.
+  Known knows(Micros now, const Digest& key, bool saidToBeRepeat,
+              std::optional<Micros> firstSentAt = std::nullopt) const;
   bool full() const { return records_.size() >= most_; }
   std::size_t size() const { return records_.size(); }
-  bool doubtful(Micros now) const { return now < doubtUntil_; }
+  // Whether a record of then may have been lost. Guards against doubting every repeat for the whole memory:
+  // what was first sent in this ledger's own life would stand in it.
+  bool doubtful(Micros now, std::optional<Micros> firstSentAt = std::nullopt) const {
+    return now < doubtUntil_ && (!firstSentAt || *firstSentAt < doubtUntil_ - memory_);
+  }
 
   // What the store has to write, in order; several marks of one key within a batch are one.
   std::vector<Write> takeWrites();
--- a/src/media/nodes.cpp
+++ b/src/media/nodes.cpp
@@ -84,8 +84,9 @@
   return true;
 }
 
-Nodes::Nodes(event_base* base, Ear& ear, std::string director, const settings::NodeLimits& limits)
-    : base_(base), ear_(ear), director_(std::move(director)), limits_(limits) {}
+Nodes::Nodes(event_base* base, Ear& ear, std::string director, const settings::NodeLimits& limits,
+             net::Connect connect)
+    : base_(base), ear_(ear), director_(std::move(director)), limits_(limits), connect_(std::move(connect)) {}
 Nodes::~Nodes() = default;
 
 // ---- orders ----
@@ -204,7 +205,7 @@
   link.host = box.host;
   link.port = box.port;
   link.since = net::monotonicNow();
-  link.bev = net::connectTo(base_, box.host, box.port);
+  link.bev = connect_(base_, box.host, box.port);
   ++figures_.connects;
   if (!link.bev) {
     ++figures_.connectsFailed;
--- a/src/media/nodes.h
+++ b/src/media/nodes.h
@@ -36,7 +36,8 @@
     virtual void drains(NodeId node) = 0;
   };
 
-  Nodes(event_base* base, Ear& ear, std::string director, const settings::NodeLimits& limits);
+  Nodes(event_base* base, Ear& ear, std::string director, const settings::NodeLimits& limits,
+        net::Connect connect = net::connectTo);
   ~Nodes();
 
   void setUp(const session::SetUp& order, const fleet::Box& box, const std::string& roomType);
@@ -71,6 +72,7 @@
   Ear& ear_;
   std::string director_;
   settings::NodeLimits limits_;
+  net::Connect connect_;
   std::map<NodeId, std::unique_ptr<Link>> links_;
   std::vector<std::unique_ptr<Link>> dead_;
   std::map<session::JoinKey, JoinAt> joins_;
--- a/src/player/door.h
+++ b/src/player/door.h
@@ -12,6 +12,8 @@
   virtual bool carry(session::Line line, const AnswerMessage& message, bool ends) = 0;
   // Passed over where the peer is not of this door.
   virtual void carry(const intake::Due& due) = 0;
+  // As if the connection, or where there is such a thing the call, had broken.
+  virtual void cut(session::Line line) = 0;
   virtual void closeAll() = 0;
   virtual void tick(Micros now) = 0;  // frees what has died; some times a second
   virtual std::size_t sockets() const = 0;
--- a/src/player/words.h
+++ b/src/player/words.h
@@ -2,14 +2,17 @@
 // protocol's edge and the director. Plain values; no socket, no format. Source: docs/protocol.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "control.h"
-#include "session/front.h"
 
 namespace lupinsill::player {
 
+using Line = std::uint64_t;  // one ask and what follows, named by the director; see session/front.h
+
 // Player to director.
 struct AskMessage {
   std::string id;  // names the ask on its connection, where the protocol needs a name for that
@@ -21,7 +24,8 @@
   int top = 1000;
   std::optional<Micros> timeout;
   std::optional<Micros> length;
-  std::string again;  // the director this key was sent to before; empty: none
+  std::string again;                              // the director this key was sent to before; empty: none
+  std::optional<Micros> againAge = std::nullopt;  // how long before this message that was first
 };
 struct LeaveMessage {
   std::string id;
@@ -58,9 +62,9 @@
   virtual ~Ear() = default;
   // A well-formed ask. False with a reason where it names what this deployment does not have: nothing of it
   // was taken then.
-  virtual bool asked(session::Line line, const AskMessage& ask, std::string& why) = 0;
-  virtual void left(session::Line line) = 0;
-  virtual void closed(session::Line line) = 0;
+  virtual bool asked(Line line, const AskMessage& ask, std::string& why) = 0;
+  virtual void left(Line line) = 0;
+  virtual void closed(Line line) = 0;
 };
 
 }  // namespace lupinsill::player
--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -236,10 +236,13 @@
   };
   const auto it = byKey_.find(key);
   if (it == byKey_.end()) {
-    const ledger::Known known = ledger_.knows(now_, key, ask.again == Ask::Again::here);
+    // At the latest: this ask may itself have been on its way for as long as its client waits.
+    std::optional<Micros> firstSentAt;
+    if (ask.againAge) firstSentAt = now_ - *ask.againAge - ask.timeout - waited_;
+    const ledger::Known known = ledger_.knows(now_, key, ask.again == Ask::Again::here, firstSentAt);
     if (known == ledger::Known::played) return refuse(WhyTerminated::ended);
     if (known == ledger::Known::mayHaveRun) {
-      if (ledger_.doubtful(now_)) ++figures_.doubted;
+      if (ledger_.doubtful(now_, firstSentAt)) ++figures_.doubted;
       return refuse(WhyTerminated::mayHaveRun);
     }
     // Directors share nothing: only the one that was asked first knows whether its join ran.
--- a/src/session/front.h
+++ b/src/session/front.h
@@ -45,6 +45,7 @@
   // what became of it.
   enum class Again { no, here, elsewhere } again = Again::no;
   std::optional<Micros> length;
+  std::optional<Micros> againAge = std::nullopt;  // how long before this ask its key was first sent
 };
 
 // How the front is bounded, apart from the terms that the decider reads.
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -126,6 +126,18 @@
   if (const std::string grpc = listen.text("grpc"); !grpc.empty()) d.grpc = endpointOf(file, listen, grpc);
   d.admin = endpointOf(file, listen, listen.text("admin"));
 
+  if (const Element* tls = root.child("tls")) {
+    const auto named = [&](const char* attribute) { return beside(file, tls->text(attribute)); };
+    d.playersTls = {named("certificate"), named("key"), named("players-authority")};
+    d.nodesTls = {named("nodes-certificate"), named("nodes-key"), named("nodes-authority")};
+    for (const net::TlsFiles* files : {&d.playersTls, &d.nodesTls})
+      if (files->certificate.empty() != files->key.empty())
+        refuse(file, *tls, "a certificate and its key belong together");
+    if (d.playersTls.certificate.empty() && !d.playersTls.authority.empty())
+      refuse(file, *tls, "players-authority: expected a certificate and key of our own as well");
+    if (d.nodesTls.authority.empty() && !d.nodesTls.certificate.empty())
+      refuse(file, *tls, "nodes-certificate: expected nodes-authority as well");
+  }
   const Element& list = *root.child("list");
   d.listFile = beside(file, list.text("file"));
   d.keptAs = beside(file, list.text("kept-as"));
@@ -223,6 +235,8 @@
     if (differs) out.emplace_back(what);
   };
   const Terms &a = now.terms, &b = next.terms;
+  const auto same = [](const net::TlsFiles& x, const net::TlsFiles& y) { return x.empty() == y.empty(); };
+  say(!same(now.playersTls, next.playersTls) || !same(now.nodesTls, next.nodesTls), "tls, on or off");
   say(now.name != next.name || a.ordinal != b.ordinal || a.directors != b.directors || a.zone != b.zone,
       "director");
   say(now.players.host != next.players.host || now.players.port != next.players.port ||
--- a/src/settings/deployment.h
+++ b/src/settings/deployment.h
@@ -12,6 +12,7 @@
 
 #include "control.h"
 #include "fleet/membership.h"
+#include "net/tls.h"
 #include "session/front.h"
 
 namespace lupinsill::settings {
@@ -46,6 +47,8 @@
   Endpoint players;
   std::optional<Endpoint> grpc;
   Endpoint admin;
+  net::TlsFiles playersTls;  // of both players' listeners; empty: plain
+  net::TlsFiles nodesTls;    // shown to media nodes; the authority is theirs; empty: plain
   std::string listFile;
   std::string keptAs;
   Micros lookEvery = 0;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -120,7 +120,7 @@
     if (env_ != nullptr) mdb_env_close(env_);
     env_ = nullptr;
     if (!existed) throw;
-    found_ = {{}, false, bad.what()};
+    found_ = {{}, false, false, bad.what()};
   }
   if (!found_.whole) {
     // Guards against a damaged file that is answered from as if it were empty, or written on. What could be
@@ -135,6 +135,7 @@
     for (const ledger::Record& record : found_.records) kept.push_back({0, record});
     if (!commit(kept)) throw std::runtime_error(file + ": cannot be written");
   }
+  found_.fresh = !existed;
   thread_ = std::thread([this] { run(); });
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -22,6 +22,7 @@
 struct Found {
   std::vector<ledger::Record> records;
   bool whole = true;
+  bool fresh = false;     // no file was there: a first start, or a ledger that was lost
   std::string complaint;  // where it is not whole
 };
 
--- a/src/websocket/channel.cpp
+++ b/src/websocket/channel.cpp
@@ -164,6 +164,7 @@
   auto& channel = *static_cast<Channel*>(me);
   if (what & BEV_EVENT_CONNECTED) {
     net::noDelay(bufferevent_getfd(channel.bev_.get()));
+    if (channel.server_) return;  // under TLS, the end of its handshake: the player speaks first
     channel.key_ = freshKey();
     channel.sendRaw(openingRequest(channel.host_, channel.key_));
     return;
--- a/src/websocket/channel.h
+++ b/src/websocket/channel.h
@@ -42,6 +42,7 @@
 
   void sendText(std::string_view text);
   void close(int code, std::string_view reason);
+  void cut() { die(1006); }       // as if the socket had broken; the ear hears it
   void abort();                   // drops the socket as it is, without a word
   void refuse(std::string text);  // server, before the handshake: sends `text` and closes
   void stopReading();             // as a player that never reads
--- a/src/websocket/messages.cpp
+++ b/src/websocket/messages.cpp
@@ -64,6 +64,7 @@
   ask.tenant = word(json, "tenant", false);
   ask.top = static_cast<int>(number(json, "top", 0, 1000).value_or(1000));
   ask.again = word(json, "again", false);
+  if (const auto ms = number(json, "againMs", 0, spanMost)) ask.againAge = *ms * 1000;
   ask.timeout = span(json, "timeoutMs");
   ask.length = span(json, "lengthMs");
   return ask;
@@ -74,6 +75,8 @@
             {"title", ask.title}, {"room", ask.room}, {"top", ask.top}};
   if (!ask.tenant.empty()) json["tenant"] = ask.tenant;
   if (!ask.again.empty()) json["again"] = ask.again;
+  // Rounded up: the key must not look younger than it is.
+  if (ask.againAge) json["againMs"] = (*ask.againAge + 999) / 1000;
   if (ask.timeout) json["timeoutMs"] = *ask.timeout / 1000;
   if (ask.length) json["lengthMs"] = *ask.length / 1000;
   return json.dump();
--- a/src/websocket/players.cpp
+++ b/src/websocket/players.cpp
@@ -121,6 +121,10 @@
   dead_.push_back(channel.tag);
 }
 
+void Players::cut(session::Line line) {
+  if (const auto it = lines_.find(line); it != lines_.end()) sockets_.at(it->second.socket).channel->cut();
+}
+
 void Players::closeAll() {
   for (auto& [id, socket] : sockets_) socket.channel->close(1001, "director goes");
 }
--- a/src/websocket/players.h
+++ b/src/websocket/players.h
@@ -30,6 +30,7 @@
   void carry(const intake::Due& due) override;
   void setLimits(const settings::SocketLimits& limits) { limits_ = limits; }
   void stopAccepting() { listener_.reset(); }
+  void cut(session::Line line) override;
   void closeAll() override;
   void tick(Micros now) override;
   std::size_t sockets() const override { return sockets_.size() - dead_.size(); }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -186,3 +186,58 @@
   CHECK(tries > 50'000);
   CHECK(furthers > 2'000);
 }
+
+TEST_CASE("What was proved unread frees a paid wish; an earlier try that may have been taken does not") {
+  Core core(directors(), manners(), 7);
+  std::vector<Act> acts;
+  core.want(0, {1, "key", true, 20 * second}, acts);
+  Try out = *only<Try>(acts);
+  const std::size_t first = out.director;
+  core.sent(0, out.attempt);
+  acts.clear();
+  core.failed(1 * ms, out.attempt, acts, true);
+  REQUIRE(only<Try>(acts) != nullptr);  // at once, and elsewhere
+  out = *only<Try>(acts);
+  CHECK(out.director != first);
+  // This one is lost without proof, and the next proved unread: it stays bound.
+  const std::size_t bound = out.director;
+  core.sent(2 * ms, out.attempt);
+  core.failed(3 * ms, out.attempt, acts);
+  for (int tries = 0; tries < 2; ++tries) {
+    acts.clear();
+    for (Micros now = 4 * ms; now < 9 * second && only<Try>(acts) == nullptr; now += 10 * ms)
+      core.tick(now, acts);
+    REQUIRE(only<Try>(acts) != nullptr);
+    out = *only<Try>(acts);
+    CHECK(out.director == bound);
+    core.sent(5 * ms, out.attempt);
+    if (tries == 0) core.failed(6 * ms, out.attempt, acts, true);
+  }
+}
+
+TEST_CASE("A director that takes a connection and says nothing holds no wish for long, paid or not") {
+  Core core(directors(), manners(), 7);
+  std::vector<Act> acts;
+  core.want(0, {1, "key", true, 20 * second}, acts);
+  const Try first = *only<Try>(acts);
+  acts.clear();
+  core.tick(manners().tryMost, acts);
+  REQUIRE(only<Abandon>(acts) != nullptr);
+  REQUIRE(only<Try>(acts) != nullptr);
+  CHECK(only<Try>(acts)->director != first.director);
+}
+
+TEST_CASE("Where every director was shunned a first try is still made, and no further one") {
+  Core core({{"a:1", "north"}}, manners(), 7);
+  std::vector<Act> acts;
+  for (WishId id = 1; id <= 20; ++id) {
+    acts.clear();
+    core.want(static_cast<Micros>(id), {id, "key", false, 200 * ms}, acts);
+    const Try* out = only<Try>(acts);
+    REQUIRE(out != nullptr);
+    const TryId attempt = out->attempt;
+    acts.clear();
+    core.failed(static_cast<Micros>(id), attempt, acts);
+    CHECK(only<Try>(acts) == nullptr);
+  }
+}
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -17,6 +17,7 @@
 #include "director/admin.h"
 #include "grpc/transport.h"
 #include "media/rtsp.h"
+#include "net/tls.h"
 #include "session/session_client.h"
 #include "websocket/handshake.h"
 #include "websocket/transport.h"
@@ -88,7 +89,8 @@
   pid_t pid = 0;
   int players = 0, admin = 0, grpc = 0;
 
-  explicit Director(const std::string& nodes = "", const std::string& limits = "<limits/>") {
+  explicit Director(const std::string& nodes = "", const std::string& limits = "<limits/>",
+                    const std::string& tls = "") {
     std::string made = std::filesystem::temp_directory_path() / "lupinsill-director-XXXXXX";
     folder = mkdtemp(made.data());
     std::ifstream in(EXAMPLES "/small.xml");
@@ -100,10 +102,21 @@
     put("127.0.0.1:7401", "127.0.0.1:0");
     put("127.0.0.1:7402", "127.0.0.1:0");
     put("<limits/>", limits);
+    put("<list ", tls + "<list ");
+    if (!tls.empty()) certify("one");
     std::ofstream(folder + "/small.xml") << text;
     list(1, nodes);
     start();
   }
+  // A certificate that stands for itself, and is its own authority.
+  void certify(const std::string& name) const {
+    const std::string command =
+        "openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -days 2 "
+        "-subj /CN=" +
+        name + " -addext subjectAltName=IP:127.0.0.1 -keyout " + folder + "/key.pem -out " + folder +
+        "/certificate.pem 2>/dev/null && cp " + folder + "/certificate.pem " + folder + "/" + name + ".pem";
+    REQUIRE(std::system(command.c_str()) == 0);
+  }
   void list(int version, const std::string& nodes) const {
     std::ofstream(folder + "/next") << "<nodes xmlns=\"urn:lupinsill:nodes:1\" version=\"" << version << "\">"
                                     << nodes << "</nodes>";
@@ -553,3 +566,68 @@
   CHECK(WEXITSTATUS(status) == 0);
   d.pid = 0;
 }
+
+namespace {
+
+// What a player of this authority hears of a director that has no node: "throttled" where TLS stands.
+client::Result overTls(const Director& d, bool grpc, const std::string& authority) {
+  const net::Tls tls(net::Tls::Side::client, {"", "", d.folder + "/" + authority + ".pem"},
+                     grpc ? "h2" : "http/1.1");
+  const net::Connect connect = [&](event_base* base, const std::string& host, int port) {
+    return tls.connect(base, host, port);
+  };
+  const net::Base base(event_base_new());
+  client::SessionClient client(
+      base.get(), grpc ? client::makeGrpc(base.get(), connect) : client::makeWebSocket(base.get(), connect),
+      Asked::at({grpc ? d.grpc : d.players}), Asked::manners(), 5);
+  std::optional<client::Result> result;
+  client::Want want{"v", "t", "recipe-clip"};
+  want.timeout = 2'000'000;
+  client.ask(want, [&](client::WishId, const client::Heard& heard) { result = heard.result; });
+  spin(base.get(), 6000, [&] { return result.has_value(); });
+  REQUIRE(result.has_value());
+  return *result;
+}
+
+}  // namespace
+
+TEST_CASE("Players over TLS on both protocols; a renewed certificate is taken over without a restart") {
+  Director d("", "<limits/>", "<tls certificate=\"certificate.pem\" key=\"key.pem\"/>");
+  CHECK(overTls(d, false, "one") == client::Result::throttled);
+  CHECK(overTls(d, true, "one") == client::Result::throttled);
+  // One that speaks plainly is no player here, and holds up nobody.
+  Socket plain(d.players);
+  plain.send("GET / HTTP/1.1\r\n\r\n");
+  CHECK_FALSE(has(plain.read([](const std::string& s) { return has(s, "HTTP"); }), "101"));
+  d.certify("two");
+  kill(d.pid, SIGHUP);
+  for (int i = 0; i < 100 && !has(d.log(), "reloaded"); ++i) sleepMs(20);
+  CHECK(overTls(d, false, "two") == client::Result::throttled);
+  CHECK(overTls(d, true, "two") == client::Result::throttled);
+  CHECK(overTls(d, false, "one") == client::Result::unreachable);
+  // A key that does not fit is refused whole, and the certificates of before stay.
+  std::filesystem::copy_file(d.folder + "/one.pem", d.folder + "/certificate.pem",
+                             std::filesystem::copy_options::overwrite_existing);
+  kill(d.pid, SIGHUP);
+  for (int i = 0; i < 100 && !has(d.log(), "key values mismatch"); ++i) sleepMs(20);
+  CHECK(has(d.log(), "key.pem: key cannot be used"));
+  CHECK(overTls(d, true, "two") == client::Result::throttled);
+}
+
+TEST_CASE("A media node has to show a certificate of its authority before a join is written there") {
+  Node node;  // speaks plainly
+  Director d(node.entry(), "<limits/>", "<tls nodes-authority=\"certificate.pem\"/>");
+  Socket player(d.players);
+  player.open();
+  player.send(Socket::frame(askText("a", "paid-class")));
+  // The node answers the handshake with something else; provably nothing ran.
+  for (int i = 0; i < 100 && node.fd < 0; ++i) {
+    pollfd p{node.listener, POLLIN, 0};
+    if (poll(&p, 1, 50) > 0) node.fd = accept(node.listener, nullptr, nullptr);
+  }
+  char hello[16];
+  REQUIRE(recv(node.fd, hello, sizeof hello, 0) > 0);
+  CHECK(hello[0] == 0x16);  // a TLS handshake, and no SETUP
+  ::send(node.fd, "RTSP/2.0 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
+  CHECK(has(player.read([](const std::string& s) { return has(s, "reason"); }), "throttled"));
+}
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -132,3 +132,22 @@
     }
   }
 }
+
+TEST_CASE(
+    "That a ledger was lost is remembered over further restarts, until everything of before has expired") {
+  Ledger first(60 * second, 10, true);
+  first.recover(0, {}, false);
+  const auto writes = first.takeWrites();
+  REQUIRE(writes.size() == 1);
+  // The next run finds the new file whole.
+  Ledger next(60 * second, 10, true);
+  next.recover(10 * second, {writes[0].record}, true);
+  const Digest a = digestOf("a");
+  CHECK(next.knows(11 * second, a, true) == Known::mayHaveRun);
+  CHECK(next.knows(11 * second, a, false) == Known::nothing);
+  // First sent before the loss, and after it.
+  CHECK(next.knows(11 * second, a, true, -1) == Known::mayHaveRun);
+  CHECK(next.knows(11 * second, a, true, 0) == Known::nothing);
+  CHECK(next.knows(60 * second, a, true) == Known::nothing);
+  CHECK(next.size() == 0);
+}
