A full disk refuses paid asks at once and blames no node; tickets checked by command

With the ledger's disk full a paid ask waited for its record until its own deadline, and the module held the join that never left against the node. Asks that wait for a failed disk are now throttled in that turn, with a time to come back, and their joins end as moot. `lupinsill ticket check` gives expired, forged, foreign and malformed tickets each their own answer.

--- /dev/null
+++ b/bench/ledger.cpp
@@ -0,0 +1,56 @@
+// What a ledger of so many records costs: to write in group commits, to read at a start, to recover from.
+//   lupinsill_ledger_bench FILE [RECORDS]
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <thread>
+
+#include "net/handles.h"
+#include "store/store.h"
+
+using namespace lupinsill;
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    std::fprintf(stderr, "lupinsill_ledger_bench FILE [RECORDS]\n");
+    return 2;
+  }
+  const std::string file = argv[1];
+  const int records = argc > 2 ? std::atoi(argv[2]) : 1'000'000;
+  constexpr int batch = 1'000;
+  constexpr std::size_t megabytes = 1'024;
+  const Micros memory = 3'600'000'000;
+  const auto seconds = [](Micros from) { return static_cast<double>(net::monotonicNow() - from) / 1e6; };
+  std::filesystem::remove(file);
+  const Micros offset = net::wallNow() - net::monotonicNow();
+  {
+    store::Store store(file, megabytes, offset, [] {});
+    ledger::Ledger ledger(memory, static_cast<std::size_t>(records) + 1, true);
+    const Micros start = net::monotonicNow();
+    ledger::Seq last = 0;
+    for (int i = 0; i < records; ++i) {
+      last = ledger.intend(net::monotonicNow(), ledger::digestOf("key " + std::to_string(i)));
+      if (i % batch == batch - 1) store.write(ledger.takeWrites());
+    }
+    store.write(ledger.takeWrites());
+    while (store.durable() < last && !store.failed())
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    if (store.failed()) return std::fprintf(stderr, "%s: a commit failed\n", file.c_str()), 3;
+    std::printf("written: %d records in %.2f s, %llu commits, %.0f MB\n", records, seconds(start),
+                static_cast<unsigned long long>(store.commits()),
+                static_cast<double>(std::filesystem::file_size(file)) / 1e6);
+  }
+  const Micros start = net::monotonicNow();
+  const store::Store store(file, megabytes, offset, [] {});
+  const double read = seconds(start);
+  ledger::Ledger ledger(memory, static_cast<std::size_t>(records) + 1, true);
+  ledger.recover(net::monotonicNow(), store.found().records, store.found().whole);
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  std::printf("started: %.2f s in all, %.2f of it reading; %zu keys known, %s, %ld MB at most\n",
+              seconds(start), read, ledger.size(), store.found().whole ? "whole" : "damaged",
+              used.ru_maxrss / 1024);
+  return 0;
+}
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -13,6 +13,7 @@
 #include "lab/run.h"
 #include "settings/deployment.h"
 #include "store/store.h"
+#include "ticket/ticket.h"
 
 namespace {
 
@@ -48,6 +49,18 @@
   return stands.whole ? 0 : complain(found, file + ": " + stands.complaint);
 }
 
+int checkTicket(const std::string& keyFile, const std::string& atNode, const std::string& text) {
+  ticket::Claims claims;
+  const ticket::Verdict verdict =
+      ticket::check(ticket::readKeys(keyFile), text, net::wallNow() / 1'000'000, claims, atNode);
+  std::printf("%s", ticket::nameOf(verdict));
+  if (!claims.subscription.empty())
+    std::printf(" subscription=%s node=%s rung=%d expires=%lld", claims.subscription.c_str(),
+                claims.node.c_str(), claims.rung, static_cast<long long>(claims.expires));
+  std::printf("\n");
+  return verdict == ticket::Verdict::good ? 0 : found;
+}
+
 int runLab(const lab::RunOptions& options) {
   const lab::RunResult result = lab::runDay(options);
   std::fputs(lab::shown(result).c_str(), stdout);
@@ -133,6 +146,17 @@
   ledgerList->add_option("file", file, "The ledger's file")->required();
   ledgerList->footer("Example: lupinsill ledger ls examples/small-ledger.mdb");
 
+  CLI::App* tickets = app.add_subcommand("ticket", "Look at a ticket as a media node has to");
+  tickets->require_subcommand(1);
+  tickets->footer("Example: lupinsill ticket check --keys ticket.keys --node 127.0.0.1:9000 TICKET");
+  std::string keyFile, atNode, ticketText;
+  CLI::App* ticketCheck =
+      tickets->add_subcommand("check", "good, malformed, forged, foreign or expired; ends 0 where good");
+  ticketCheck->add_option("--keys", keyFile, "The key file of the directors")->required();
+  ticketCheck->add_option("--node", atNode, "The host:port it was shown at; left out, any");
+  ticketCheck->add_option("ticket", ticketText, "The ticket")->required();
+  ticketCheck->footer("Example: lupinsill ticket check --keys ticket.keys --node 127.0.0.1:9000 TICKET");
+
   CLI::App* labs = app.add_subcommand("lab", "Stand-in nodes, scripted players and faults on loopback");
   labs->require_subcommand(1);
   labs->footer("Example: lupinsill lab run examples/days/bad-evening.xml --seed 1");
@@ -202,6 +226,7 @@
       std::fputs(settings::shown(file).c_str(), stdout);
       return 0;
     }
+    if (ticketCheck->parsed()) return checkTicket(keyFile, atNode, ticketText);
     if (ledgerList->parsed()) return listLedger(file);
     if (status->parsed()) return askDirector(admin, "GET", "/status");
     if (nodes->parsed()) return askDirector(admin, "GET", "/nodes");
--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -112,6 +112,7 @@
     }
     unrecorded_.pop_front();
   }
+  if (storeFailed_) giveUpUnrecorded();
 
   std::vector<Came> came = std::move(came_);
   came_.clear();
@@ -149,7 +150,7 @@
 }
 
 Micros Front::due() const {
-  if (!events_.empty() || !came_.empty() ||
+  if (!events_.empty() || !came_.empty() || (storeFailed_ && !unrecorded_.empty()) ||
       (!unrecorded_.empty() && ledger_.isDurable(unrecorded_.front().first)))
     return lastTurn_;
   Micros at = lastTurn_ + tick;
@@ -575,6 +576,23 @@
     unrecorded_.emplace_back(seq, order);
 }
 
+// Guards against asks that wait for a disk which takes nothing any more: none of these joins has left, so
+// each is told now when to come back, and not at its deadline.
+void Front::giveUpUnrecorded() {
+  const auto waiting = std::exchange(unrecorded_, {});
+  for (const auto& [seq, order] : waiting) {
+    JoinOut* out = findJoin(order.join);
+    if (out == nullptr) continue;
+    Request& request = *out->request;
+    if (!request.answered && request.mayHaveRun)
+      answerTerminated(request, WhyTerminated::mayHaveRun);
+    else if (!request.answered)
+      answerThrottled(request, advice(), WhyThrottled::busy);
+    // Not the node's fault, and not to be held against it.
+    finishJoin(*out, Outcome::moot, {}, true, false);
+  }
+}
+
 void Front::durable(ledger::Seq seq) { ledger_.durable(seq); }
 
 void Front::forget(SubId sub) {
--- a/src/session/front.h
+++ b/src/session/front.h
@@ -246,6 +246,7 @@
   void endLines(Request& request, WhyEnded why, Micros retryAfter);
   void remember(const Request& request, ledger::Mark mark);
   void letGo(const SetUp& order, ledger::Seq seq);
+  void giveUpUnrecorded();
   void forget(SubId sub);
   void lateOnes();
   Request* find(SubId sub);
--- a/src/ticket/ticket.cpp
+++ b/src/ticket/ticket.cpp
@@ -69,7 +69,24 @@
   return encoded(bytes, payload.size()) + "." + encoded(mac.data(), mac.size());
 }
 
-Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims) {
+const char* nameOf(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::good:
+      return "good";
+    case Verdict::malformed:
+      return "malformed";
+    case Verdict::forged:
+      return "forged";
+    case Verdict::expired:
+      return "expired";
+    case Verdict::foreign:
+      return "foreign";
+  }
+  return "?";
+}
+
+Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims,
+              std::string_view atNode) {
   const std::size_t dot = ticket.find('.');
   if (dot == std::string_view::npos || ticket.size() > 1024) return Verdict::malformed;
   std::vector<unsigned char> payload, mac;
@@ -88,6 +105,8 @@
   if (c == std::string::npos) return Verdict::malformed;
   claims = {text.substr(0, a), text.substr(a + 1, b - a - 1), std::atoi(text.c_str() + b + 1),
             std::atoll(text.c_str() + c + 1)};
+  // Ours, but meant for another: said before its age, since a fresh one would not help either.
+  if (!atNode.empty() && claims.node != atNode) return Verdict::foreign;
   return claims.expires < nowSeconds ? Verdict::expired : Verdict::good;
 }
 
--- a/src/ticket/ticket.h
+++ b/src/ticket/ticket.h
@@ -29,7 +29,10 @@
 KeyRing readKeys(const std::string& file);
 std::string sign(const Key& key, const Claims& claims);
 
-enum class Verdict { good, malformed, forged, expired };
-Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims);
+enum class Verdict { good, malformed, forged, expired, foreign };
+const char* nameOf(Verdict verdict);
+// `atNode`: the host:port it was shown at; a good ticket for another one is foreign there. Empty: any.
+Verdict check(const KeyRing& keys, std::string_view ticket, std::int64_t nowSeconds, Claims& claims,
+              std::string_view atNode = {});
 
 }  // namespace lupinsill::ticket
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,6 +89,7 @@
   std::string folder;
   pid_t pid = 0;
   int players = 0, admin = 0, grpc = 0;
+  rlim_t fileMost = 0;  // bytes that the next run may write to a file; 0: no bound
 
   explicit Director(const std::string& nodes = "", const std::string& limits = "<limits/>",
                     const std::string& tls = "") {
@@ -127,6 +129,12 @@
     pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (fileMost != 0) {
+        // A disk that is full: writes past it fail with EFBIG, the signal being ignored.
+        signal(SIGXFSZ, SIG_IGN);
+        const rlimit most{fileMost, fileMost};
+        setrlimit(RLIMIT_FSIZE, &most);
+      }
       const std::string config = folder + "/small.xml", ports = folder + "/ports", log = folder + "/log";
       if (freopen(log.c_str(), "a", stderr) == nullptr) _exit(1);
       execl(PROGRAM, PROGRAM, "director", "--config", config.c_str(), "--ports", ports.c_str(), nullptr);
@@ -631,3 +639,30 @@
   ::send(node.fd, "RTSP/2.0 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
   CHECK(has(player.read([](const std::string& s) { return has(s, "reason"); }), "throttled"));
 }
+
+TEST_CASE("A disk that is full: paid asks are refused at once and no join leaves; safe ones go on") {
+  Node node;
+  Director d(node.entry());
+  CHECK(d.end(SIGKILL) == -SIGKILL);
+  d.fileMost = 12'288;
+  d.start();
+  Socket player(d.players);
+  player.open();
+  const auto start = std::chrono::steady_clock::now();
+  player.send(Socket::frame(askText("a", "paid-class")));
+  const std::string no = player.read([](const std::string& s) { return has(s, "reason"); });
+  CHECK(has(no, "throttled"));
+  CHECK(has(no, "busy"));
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+  for (int i = 0; i < 100 && !has(d.log(), "ledger-failed"); ++i) sleepMs(20);
+  CHECK(has(d.log(), "ledger-failed"));
+  // The node's room for newcomers is ramped: a safe ask may have to come again.
+  pollfd comes{node.listener, POLLIN, 0};
+  for (int i = 0; i < 20 && poll(&comes, 1, 300) == 0; ++i)
+    player.send(Socket::frame(askText("b" + std::to_string(i))));
+  const media::Message setUp = node.next(), play = node.next();
+  CHECK(has(setUp.uri, "recipe-clip"));  // and nothing paid before it
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  CHECK(has(player.read([](const std::string& s) { return has(s, "ticket"); }), "playing"));
+}
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -369,6 +369,16 @@
     s.turn();
     CHECK(s.only<SetUp>() == nullptr);
   }
+  SECTION("a disk that fails: the ask is refused in that turn, and not at its deadline") {
+    s.decider->heard.clear();
+    s.front.storeFailed();
+    s.turn();
+    CHECK(s.only<SetUp>() == nullptr);
+    REQUIRE(s.only<Throttled>() != nullptr);
+    CHECK(s.only<Throttled>()->retryAfter > 0);
+    REQUIRE_FALSE(s.decider->heard.empty());
+    CHECK(std::get<JoinEnded>(s.decider->heard.front()).settled);
+  }
   SECTION("a disk that never answers: the ask is refused, as provably never sent") {
     s.decider->heard.clear();
     for (int i = 0; i < 32 && s.decider->heard.empty(); ++i) s.turn(100 * ms);
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -79,6 +79,8 @@
   CHECK(claims.rung == 3);
   CHECK(ticket::check({key}, one, 1001, claims) == ticket::Verdict::expired);
   CHECK(ticket::check({other}, one, 1000, claims) == ticket::Verdict::forged);
+  CHECK(ticket::check({key}, one, 1000, claims, "elsewhere:1") == ticket::Verdict::foreign);
+  CHECK(ticket::check({key}, one, 9999, claims, "elsewhere:1") == ticket::Verdict::foreign);
   // While a key is rotated the old one's tickets still hold, and the new one's do too.
   CHECK(ticket::check({other, key}, one, 1000, claims) == ticket::Verdict::good);
   CHECK(ticket::check({other, key}, ticket::sign(other, {"d1-18", "", 0, 1000}), 1000, claims) ==
