--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -666,3 +666,43 @@
   node.answer(play, 200, "s1");
   CHECK(has(player.read([](const std::string& s) { return has(s, "ticket"); }), "playing"));
 }
+
+TEST_CASE("A paid key replayed within its memory is known for one; after it, it is a key like any other") {
+  Node node;
+  Director d(node.entry());
+  CHECK(d.end(SIGKILL) == -SIGKILL);
+  std::ifstream in(d.folder + "/small.xml");
+  std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  text.replace(text.find("<answers/>"), 10, "<answers key-memory=\"2s\"/>");
+  std::ofstream(d.folder + "/small.xml") << text;
+  d.start();
+  Socket player(d.players);
+  player.open();
+  const auto said = [&](const std::string& id) {
+    player.send(Socket::frame(askText(id, "paid-class")));
+    return player.read([](const std::string& s) { return has(s, "reason") || has(s, "ticket"); });
+  };
+  player.send(Socket::frame(askText("a", "paid-class")));
+  const media::Message setUp = node.next(), play = node.next();
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  CHECK(has(player.read([](const std::string& s) { return has(s, "ticket"); }), "playing"));
+  player.send(Socket::frame("{\"type\":\"leave\",\"id\":\"a\"}"));
+  CHECK(node.next().method == "TEARDOWN");
+  CHECK(has(said("b"), "\"ended\""));
+  // Also after a restart, for what is left of its time.
+  CHECK(d.end(SIGKILL) == -SIGKILL);
+  close(node.fd);
+  node.fd = -1;
+  node.reader = media::Reader();
+  d.start();
+  Socket again(d.players);
+  again.open();
+  again.send(Socket::frame(askText("c", "paid-class")));
+  CHECK(has(again.read([](const std::string& s) { return has(s, "reason"); }), "terminated"));
+  sleepMs(2500);
+  pollfd comes{node.listener, POLLIN, 0};
+  for (int i = 0; i < 20 && poll(&comes, 1, 300) == 0; ++i)
+    again.send(Socket::frame(askText("d" + std::to_string(i), "paid-class")));
+  CHECK(node.next().method == "SETUP");
+}
