--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <sstream>
 
+#include "media/nodes.h"
 #include "media/rtsp.h"
 #include "net/handles.h"
 #include "websocket/channel.h"
@@ -34,12 +35,14 @@
   int players = 0;
   std::string folder;
 
-  Program(const std::string& program, const std::string& policy, const std::vector<int>& ports) {
+  Program(const std::string& program, const std::string& policy, const std::vector<int>& ports,
+          bool ledger = false) {
     std::string made = std::filesystem::temp_directory_path() / "lupinsill-load-XXXXXX";
     folder = mkdtemp(made.data());
     std::ofstream(folder + "/s.xml") << R"(<lupinsill xmlns="urn:lupinsill:settings:1">
 <director name="load" zone="z"/><listen players="127.0.0.1:0" admin="127.0.0.1:0"/>
-<list file="nodes.xml" kept-as="kept.xml"/>
+<list file="nodes.xml" kept-as="kept.xml"/>)"
+                                     << (ledger ? R"(<ledger file="l.mdb" megabytes="512"/>)" : "") << R"(
 <fleet cells="8" racks="2" all-links-kb="100000000" rack-uplink-kb="50000000"><kind name="k" places="100000"/></fleet>
 <ladder><rung kb="100" benefit="0.5"/><rung kb="200" benefit="0.8"/><rung kb="400" benefit="1"/></ladder>
 <room-types><room-type name="clip" effect="repeatable" join-objective="1s" client-timeout="5s" top="2"/>
@@ -123,8 +126,9 @@
   };
   std::vector<std::unique_ptr<Player>> players;
   std::size_t opened = 0, lost = 0, next = 0, answers = 0, playing = 0;
-  std::map<std::string, Micros> sent;  // by key
+  std::map<std::string, Micros> sent;  // by id, which is the key without its director
   std::vector<Micros> joinTimes, answerTimes;
+  double paidShare = 0;
 
   Peers() {
     for (int i = 0; i < nodes; ++i) {
@@ -156,7 +160,8 @@
     while (const auto message = link.reader.next()) {
       if (message->method == "SETUP") {
         ++link.sessions;
-        const auto it = link.peers->sent.find(std::string(message->header("Lupinsill-Ask")));
+        const std::string key = media::unescaped(message->header("Lupinsill-Ask"));
+        const auto it = link.peers->sent.find(key.substr(key.find(':') + 1));
         if (it != link.peers->sent.end()) link.peers->joinTimes.push_back(net::monotonicNow() - it->second);
       }
       media::Message reply;
@@ -200,7 +205,8 @@
     ask.viewer = "v" + std::to_string(next % 50'000);
     ask.title = "t" + std::to_string(next % 500);
     ask.room = "clip";
-    sent[ask.key] = net::monotonicNow();
+    if (static_cast<double>(next % 100) < paidShare * 100) ask.room = "paid", ask.key = "load:" + ask.key;
+    sent[ask.id] = net::monotonicNow();
     player.channel->sendText(websocket::textOf(ask));
   }
   void answered(Player& player, std::string_view text) {
@@ -268,12 +274,14 @@
 int main(int argc, char** argv) {
   CLI::App app{"Load on one director over loopback"};
   std::string program = "build/lupinsill";
-  double seconds = 3, limitMs = 5, most = 16'000;
+  double seconds = 3, limitMs = 5, most = 16'000, paidShare = 0;
   std::size_t idle = 10'000;
   app.add_option("--program", program)->capture_default_str();
   app.add_option("--seconds", seconds, "Of each step")->capture_default_str();
   app.add_option("--limit-ms", limitMs, "Of the 99th percentile of ask to first join")->capture_default_str();
   app.add_option("--most", most, "Asks a second at most")->capture_default_str();
+  app.add_option("--paid-share", paidShare, "Of asks; over 0, compares without and with a ledger instead")
+      ->capture_default_str();
   app.add_option("--idle", idle, "Idle players to open")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   if (sodium_init() < 0) return 3;
@@ -287,7 +295,11 @@
     std::map<std::string, double> carried, cpu;
     // The two in turn at each rate, so that a slow moment of the machine meets both.
     Peers peersA, peersB;
-    const Program module(program, "", peersA.ports), plain(program, "first-open", peersB.ports);
+    const bool ledger = paidShare > 0;
+    const char *nameA = ledger ? "no-ledger" : "module", *nameB = ledger ? "ledger" : "first-open";
+    peersA.paidShare = peersB.paidShare = paidShare;
+    const Program module(program, "", peersA.ports);
+    const Program plain(program, ledger ? "" : "first-open", peersB.ports, ledger);
     peersA.open(module, sockets), peersB.open(plain, sockets);
     bool goA = true, goB = true;
     for (double rate = 500; rate <= most && (goA || goB); rate *= 1.5) {
@@ -298,13 +310,13 @@
         go = static_cast<double>(s.join99) / 1000 <= limitMs;
         if (go) carried[who] = s.rate, cpu[who] = s.cpuMicros;
       };
-      one("module", peersA, module, goA);
-      one("first-open", peersB, plain, goB);
+      one(nameA, peersA, module, goA);
+      one(nameB, peersB, plain, goB);
     }
-    std::printf("carried under %.0f ms: module %.0f/s, first-open %.0f/s\n", limitMs, carried["module"],
-                carried["first-open"]);
+    std::printf("carried under %.0f ms: %s %.0f/s, %s %.0f/s\n", limitMs, nameA, carried[nameA], nameB,
+                carried[nameB]);
     const Step a = step(peersA, module, 1000, seconds), b = step(peersB, plain, 1000, seconds);
-    std::printf("CPU an ask at 1000/s: module %.0f us, first-open %.0f us, ratio %.2f\n", a.cpuMicros,
+    std::printf("CPU an ask at 1000/s: %s %.0f us, %s %.0f us, ratio %.2f\n", nameA, a.cpuMicros, nameB,
                 b.cpuMicros, a.cpuMicros / b.cpuMicros);
     if (idle > 0) {
       Peers peers;
