--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -18,6 +18,8 @@
   if (row.first.size() < shownMost) row.first.push_back(words);
 }
 
+int placeOf(const std::string& director) { return std::atoi(director.c_str() + 1); }  // "d3-..." is place 3
+
 bool unsafe(const Figures& f, int roomType) {
   return f.terms.roomTypes[static_cast<std::size_t>(roomType)].effect != Effect::repeatable;
 }
@@ -26,17 +28,20 @@
   Row row{"1 one answer", 0, 0, "", {}};
   Micros nearest = 3'600'000'000;
   for (const AskSeen& ask : record.asks) {
-    if (ask.mute) continue;
+    // Whether a mute player was answered cannot be seen; what it did hear counts as anybody's.
+    if (ask.mute && ask.answers.empty()) continue;
     Micros deadline = ask.at + ask.timeout;
-    // What a killed director held is no longer its duty; one that was stopped answers when it goes on.
-    bool excused = ask.closedAt >= 0 && ask.closedAt <= deadline && !ask.lostSocket;
-    for (const DirectorDown& down : record.downs)
-      if (down.director == ask.director && down.run == ask.run && down.at <= deadline + f.answerSlack)
-        excused = true;
+    // One that was stopped answers when it goes on.
     for (const DirectorStood& stood : record.stood)
       if (stood.director == ask.director && stood.run == ask.run && stood.from <= deadline &&
           stood.to >= ask.at)
         deadline += stood.to - std::max(stood.from, ask.at);
+    // A player that goes at its very time-out has not left: it was left.
+    bool excused = ask.closedAt >= 0 && ask.closedAt < deadline && !ask.lostSocket;
+    // What a killed director held is no longer its duty.
+    for (const DirectorDown& down : record.downs)
+      if (down.director == ask.director && down.run == ask.run && down.at <= deadline + f.answerSlack)
+        excused = true;
     const std::string who = "ask " + ask.askKey + " at " + ms(ask.at);
     if (ask.answers.size() > 1) broke(row, who + ": " + std::to_string(ask.answers.size()) + " answers");
     if (ask.answers.empty()) {
@@ -59,7 +64,9 @@
   std::map<std::string, std::vector<const SetUpSeen*>> bySub, byAsk;
   for (const SetUpSeen& s : record.setUps) {
     bySub[s.subscription].push_back(&s);
-    if (unsafe(f, s.roomType)) byAsk[s.viewer + "/" + s.askKey].push_back(&s);
+    // Without a key no two joins but those of one subscription are known to be one ask's.
+    if (unsafe(f, s.roomType))
+      byAsk[s.askKey.empty() ? "/" + s.subscription : s.viewer + "/" + s.askKey].push_back(&s);
   }
   Micros overlap = 0;
   for (auto& [sub, list] : bySub)
@@ -102,18 +109,33 @@
 
 Row drains(const Record& record, const Figures& f) {
   Row row{"3 drains kept", 0, 0, "", {}};
-  std::map<NodeId, Micros> word;
-  for (const NodeWord& w : record.words)
-    if (w.state != NodeState::ready) word.try_emplace(w.node, w.at);
+  // The words that each director could read of a node, in order: a later `ready` takes an earlier drain back.
+  std::map<NodeId, std::vector<const NodeWord*>> words;
+  for (const NodeWord& w : record.words) words[w.node].push_back(&w);
+  for (auto& [node, list] : words)
+    std::stable_sort(list.begin(), list.end(),
+                     [](const NodeWord* a, const NodeWord* b) { return a->at < b->at; });
   Micros latest = -3'600'000'000;
-  std::map<NodeId, bool> used;
+  std::set<std::pair<NodeId, Micros>> used;  // a node and its drain, that had joins before it
   for (const SetUpSeen& s : record.setUps) {
-    const auto it = word.find(s.node);
-    if (it == word.end()) continue;
-    if (s.at < it->second) used[s.node] = true;
-    latest = std::max(latest, s.at - it->second);
-    if (s.at > it->second + f.listLook + f.grace)
-      broke(row, "node " + std::to_string(s.node) + ": a join " + ms(s.at - it->second) + " after the word");
+    const int director = placeOf(s.director);
+    Micros since = -1, next = -1;
+    for (const NodeWord* w : words[s.node]) {
+      if (w->director >= 0 && w->director != director) continue;
+      if (w->at > s.at) {
+        if (w->state != NodeState::ready && next < 0 && since < 0) next = w->at;
+        continue;
+      }
+      if (w->state == NodeState::ready)
+        since = -1;
+      else if (since < 0)
+        since = w->at;
+    }
+    if (next >= 0) used.emplace(s.node, next), latest = std::max(latest, s.at - next);
+    if (since < 0) continue;
+    latest = std::max(latest, s.at - since);
+    if (s.at > since + f.listLook + f.grace)
+      broke(row, "node " + std::to_string(s.node) + ": a join " + ms(s.at - since) + " after the word");
   }
   row.tested = used.size();
   row.nearest = row.tested == 0 ? "-" : "last join " + ms(latest) + " after the word";
@@ -205,7 +227,7 @@
   double nearest = 0;
   for (const auto& [director, times] : again) {
     row.tested += times.size();
-    const std::vector<Micros>& asks = taken[std::atoi(director.c_str() + 1)];  // "d3-..." is place 3
+    const std::vector<Micros>& asks = taken[placeOf(director)];
     for (const Micros at : times) {
       const auto within = [&](const std::vector<Micros>& list) {
         return static_cast<double>(std::count_if(
--- a/src/audit/record.h
+++ b/src/audit/record.h
@@ -58,6 +58,7 @@
   NodeId node = 0;
   Micros at = 0;
   NodeState state = NodeState::ready;
+  int director = -1;  // the only one that could read it then; -1: all
 };
 struct DirectorDown {
   int director = 0;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,10 +3,12 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <iostream>
+#include <map>
 
 #include "baseline/baseline.h"
 #include "director/admin.h"
 #include "director/director.h"
+#include "history/play.h"
 #include "lab/clients.h"
 #include "lab/import.h"
 #include "lab/plant.h"
@@ -79,6 +81,35 @@
   return 0;
 }
 
+// Histories from a file or from seeds; names each that failed by the command that plays it again.
+int playHistories(const std::string& file, const std::string& settings, std::uint64_t seed,
+                  std::uint64_t seeds, const std::string& plant, bool print) {
+  std::size_t broken = 0;
+  std::map<std::string, std::size_t> tested;
+  for (std::uint64_t i = 0; i < (file.empty() ? seeds : 1); ++i) {
+    const history::History one = file.empty() ? history::draw(settings, seed + i) : history::read(file);
+    if (print) {
+      history::write(std::cout, one);
+      continue;
+    }
+    const history::Played played = history::play(one, plant);
+    for (const audit::Row& row : played.rows) tested[row.rule] += row.tested;
+    if (seeds == 1 || !file.empty() || played.broken() > 0)
+      std::fputs(history::shown(played).c_str(), stdout);
+    if (played.broken() > 0 && file.empty())
+      std::printf("replay: lupinsill lab history --settings %s --seed %llu%s\n", settings.c_str(),
+                  static_cast<unsigned long long>(seed + i),
+                  plant.empty() ? "" : (" --plant " + plant).c_str());
+    broken += played.broken();
+  }
+  if (print) return 0;
+  if (broken > 0) return complain(found, "rules broken: " + std::to_string(broken));
+  for (const auto& [rule, times] : tested)
+    if (times == 0) return complain(found, "not put to the test: " + rule);
+  std::puts("no rule broken, each put to the test");
+  return 0;
+}
+
 int playClients(const lab::ClientsOptions& options) {
   const lab::ClientsResult result = lab::runClients(options);
   std::fputs(lab::shown(result).c_str(), stdout);
@@ -168,6 +199,7 @@
   day->add_option("--plant", options.plant,
                   "Plant a fault (see `lab plants`); ends 1 where its rule catches it");
   day->add_option("--policy", options.policy, "A baseline in place of the module: first-open, random-lowest");
+  day->add_option("--history", options.historyFile, "Write what happened to this file, for `lab history`");
   day->add_option("--keep", options.keepIn, "Keep settings, lists and logs in this folder");
   day->footer("Example: lupinsill lab run examples/days/bad-evening.xml --plant second-join");
   CLI::App* plants = labs->add_subcommand("plants", "List the faults that can be planted");
@@ -193,6 +225,21 @@
       "Example: lupinsill lab clients --seed 1 --typescript "
       "client/typescript/dist/typescript/tools/play.js");
 
+  std::string historyFile, historySettings = "examples/days/settings.xml", historyPlant;
+  std::uint64_t historySeed = 1, historySeeds = 1;
+  bool printHistory = false;
+  CLI::App* histories = labs->add_subcommand(
+      "history", "Drive the real decisions by a history on a simulated clock, and judge it");
+  histories->add_option("file", historyFile,
+                        "History (docs/protocol/history.md); left out, drawn from the seed");
+  histories->add_option("--settings", historySettings, "Settings of the directors, for drawn ones")
+      ->capture_default_str();
+  histories->add_option("--seed", historySeed, "Seed of the first")->capture_default_str();
+  histories->add_option("--seeds", historySeeds, "How many seeds from there on")->capture_default_str();
+  histories->add_option("--plant", historyPlant, "A fault on purpose (see `lab plants`)");
+  histories->add_flag("--print", printHistory, "Print the history instead of playing it");
+  histories->footer("Example: lupinsill lab history --seed 1 --seeds 100");
+
   std::string benchDay, into;
   CLI::App* import = labs->add_subcommand("import", "Make a day of the lab with the troubles of a bench day");
   import->add_option("day", benchDay, "Day file of the operators' bench (JSON)")->required();
@@ -234,6 +281,12 @@
     if (nodes->parsed()) return askDirector(admin, "GET", "/nodes");
     if (metrics->parsed()) return askDirector(admin, "GET", "/metrics");
     if (drain->parsed()) return askDirector(admin, "POST", off ? "/undrain" : "/drain");
+    if (histories->parsed()) {
+      if (!historyPlant.empty() && lab::findPlant(historyPlant) == nullptr)
+        return complain(wrong, "--plant " + historyPlant + ": see `lupinsill lab plants`");
+      return playHistories(historyFile, historySettings, historySeed, historySeeds, historyPlant,
+                           printHistory);
+    }
     if (clients->parsed()) {
       if (clientsOptions.settingsFile.empty()) clientsOptions.settingsFile = "examples/clients.xml";
       if (!clientsOptions.plant.empty() && clientsOptions.plant != "ledger-forgets" &&
--- /dev/null
+++ b/src/history/history.cpp
@@ -0,0 +1,219 @@
+#include "history/history.h"
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <ostream>
+#include <sstream>
+#include <utility>
+
+#include "model/chance.h"
+
+namespace lupinsill::history {
+namespace {
+
+constexpr Micros ms = 1'000;
+constexpr Micros second = 1'000'000;
+
+constexpr std::array<std::pair<const char*, What>, 22> words{{
+    {"wish", What::wish},     {"leave", What::leave},     {"cut", What::cut},
+    {"start", What::start},   {"recell", What::recell},   {"drain", What::drain},
+    {"gone", What::gone},     {"kill", What::kill},       {"hang", What::hang},
+    {"lose", What::lose},     {"fail", What::fail},       {"refuse", What::refuse},
+    {"silent", What::silent}, {"connect", What::connect}, {"link-cut", What::linkCut},
+    {"repeat", What::repeat}, {"halve", What::halve},     {"late", What::late},
+    {"down", What::down},     {"up", What::up},           {"stand", What::stand},
+    {"disk", What::disk},
+}};
+
+void byTime(std::vector<Happening>& list) {
+  std::stable_sort(list.begin(), list.end(),
+                   [](const Happening& a, const Happening& b) { return a.at < b.at; });
+}
+
+}  // namespace
+
+History read(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw settings::BadSettings(file + ": cannot be read");
+  History h;
+  int number = 0;
+  const auto bad = [&](const std::string& why) {
+    throw settings::BadSettings(file + ":" + std::to_string(number) + ": " + why);
+  };
+  for (std::string line; std::getline(in, line);) {
+    ++number;
+    std::istringstream text(line.substr(0, line.find('#')));
+    std::string first, word;
+    if (!(text >> first)) continue;
+    if (first == "settings") {
+      if (!(text >> word)) bad("a settings file expected");
+      h.settingsFile = (std::filesystem::path(file).parent_path() / word).lexically_normal().string();
+      h.deployment = settings::readDeployment(h.settingsFile);
+      continue;
+    }
+    if (first == "fleet") {
+      double least = 0, most = 0;
+      if (!(text >> h.directors >> h.nodes >> h.zones >> h.linkKb >> least >> most >> h.seed) ||
+          h.directors < 1 || h.nodes < 1 || h.zones < 1 || h.linkKb <= 0 || least > most)
+        bad("directors, nodes, zones, link kB, least and most ms of a set-up, seed expected");
+      h.setUpLeast = static_cast<Micros>(least * ms);
+      h.setUpMost = static_cast<Micros>(most * ms);
+      continue;
+    }
+    if (h.settingsFile.empty()) bad("settings come first");
+    Happening one;
+    one.at = static_cast<Micros>(std::atof(first.c_str()) * ms);
+    text >> word;
+    const auto known =
+        std::find_if(words.begin(), words.end(), [&](const auto& w) { return word == w.first; });
+    if (known == words.end()) bad("unknown word '" + word + "'");
+    one.what = known->second;
+    text >> one.who;
+    if (one.what == What::wish) {
+      double length = 0;
+      if (!(text >> one.room >> one.title >> one.top >> length)) bad("room, title, top and length expected");
+      if (one.room < 0 || one.room >= static_cast<int>(h.deployment.terms.roomTypes.size()))
+        bad("no such room");
+      one.length = static_cast<Micros>(length * ms);
+    } else {
+      text >> one.much;
+    }
+    h.happenings.push_back(one);
+  }
+  if (h.settingsFile.empty()) bad("no settings named");
+  byTime(h.happenings);
+  return h;
+}
+
+void write(std::ostream& out, const History& h) {
+  out << "settings " << h.settingsFile << "\n# directors nodes zones link-kb set-up-least set-up-most seed\n"
+      << "fleet " << h.directors << ' ' << h.nodes << ' ' << h.zones << ' ' << h.linkKb << ' '
+      << h.setUpLeast / ms << ' ' << h.setUpMost / ms << ' ' << h.seed << '\n';
+  for (const Happening& one : h.happenings) {
+    const auto word =
+        std::find_if(words.begin(), words.end(), [&](const auto& w) { return one.what == w.second; });
+    out << one.at / ms << ' ' << word->first << ' ' << one.who;
+    if (one.what == What::wish)
+      out << ' ' << one.room << ' ' << one.title << ' ' << one.top << ' ' << one.length / ms;
+    else
+      out << ' ' << one.much;
+    out << '\n';
+  }
+}
+
+History draw(const std::string& settingsFile, std::uint64_t seed) {
+  model::Chance chance(seed, 77);
+  History h;
+  h.settingsFile = settingsFile;
+  h.deployment = settings::readDeployment(settingsFile);
+  h.seed = seed;
+  const Terms& terms = h.deployment.terms;
+  h.directors = 1 + static_cast<int>(chance.below(4));
+  h.nodes = std::max(1, terms.cells);
+  h.zones = 1 + static_cast<int>(chance.below(2));
+  h.linkKb = terms.weightKb * chance.between(0.3, 1.2);
+  if (chance.comes(0.2)) h.setUpLeast = 100 * ms, h.setUpMost = 700 * ms;
+  const Micros length = 20 * second;
+  const auto at = [&] { return chance.span(0, length); };
+  const auto node = [&] { return 1 + static_cast<int>(chance.below(static_cast<std::size_t>(h.nodes))); };
+  const auto director = [&] { return static_cast<int>(chance.below(static_cast<std::size_t>(h.directors))); };
+  const auto add = [&](Micros when, What what, int who, double much = 0) {
+    h.happenings.push_back({when, what, who, much, 0, 0, 0, 0});
+  };
+  // On for a while: a trouble and its end.
+  const auto spell = [&](What what, int who, double on, double off) {
+    const Micros from = at();
+    add(from, what, who, on);
+    add(from + chance.span(300 * ms, 6 * second), what, who, off);
+  };
+  const int wishes = 60 + static_cast<int>(chance.below(240));
+  const Micros crowdAt = at();
+  const bool crowd = chance.comes(0.4);
+  for (int viewer = 1; viewer <= wishes; ++viewer) {
+    Happening one;
+    one.who = viewer;
+    one.at = crowd && viewer % 3 == 0 ? crowdAt + chance.span(0, second) : at();
+    one.room = static_cast<int>(chance.below(terms.roomTypes.size()));
+    one.title = crowd && viewer % 3 == 0 ? 1 : static_cast<int>(chance.below(6));
+    one.top = terms.roomTypes[static_cast<std::size_t>(one.room)].top;
+    one.length = chance.span(500 * ms, 9 * second);
+    h.happenings.push_back(one);
+    if (chance.comes(0.05)) add(one.at + chance.span(0, 2 * second), What::leave, viewer);
+    if (chance.comes(0.08)) add(one.at + chance.span(0, 1500 * ms), What::cut, viewer);
+  }
+  int fresh = h.nodes;
+  const auto replace = [&](int old, Micros when, bool drained) {
+    if (drained) add(when, What::drain, old);
+    const Micros end = when + (drained ? chance.span(500 * ms, 3 * second) : 0);
+    add(end, What::kill, old);
+    add(end + chance.span(0, 500 * ms), What::gone, old);
+    add(end + chance.span(0, second), What::start, ++fresh, (old - 1) % h.nodes);
+  };
+  for (std::size_t n = 1 + chance.below(6); n > 0; --n) {
+    switch (chance.below(16)) {
+      case 0:
+      case 1:
+        replace(node(), at(), true);
+        break;
+      case 2:
+        replace(node(), at(), false);
+        break;
+      case 3:
+        spell(What::hang, node(), 1, 0);
+        break;
+      case 4:
+        spell(What::lose, node(), 1, 0);
+        break;
+      case 5:
+        spell(What::fail, node(), chance.between(0.2, 1), 0);
+        break;
+      case 6:
+        spell(What::refuse, node(), 1, 0);
+        break;
+      case 7:
+        spell(What::connect, node(), chance.between(50, 1500), 3);
+        break;
+      case 8:
+        spell(What::linkCut, node(), chance.between(2, 4), 1);
+        break;
+      case 9:
+        spell(What::silent, node(), 1, 0);
+        break;
+      case 10:
+        add(at(), What::repeat, 0);
+        break;
+      case 11:
+        add(at(), What::halve, 0);
+        break;
+      case 12:
+        spell(What::late, director(), chance.between(100, 3000), 0);
+        break;
+      case 13:
+        spell(What::disk, director(), chance.between(20, 2500), 2);
+        break;
+      case 14:
+        spell(What::stand, director(), 1, 0);
+        break;
+      case 15: {
+        const int who = director();
+        const Micros when = at();
+        add(when, What::down, who);
+        add(when + chance.span(100 * ms, 2 * second), What::up, who);
+        break;
+      }
+    }
+  }
+  // Now and then a whole zone's nodes start anew at once, as after a power cut.
+  if (chance.comes(0.25)) {
+    const Micros when = at();
+    for (int n = 1; n <= h.nodes; n += 1 + static_cast<int>(chance.below(3))) replace(n, when, false);
+  }
+  if (chance.comes(0.2))
+    add(at(), What::recell, node(), static_cast<double>(chance.below(static_cast<std::size_t>(h.nodes))));
+  byTime(h.happenings);
+  return h;
+}
+
+}  // namespace lupinsill::history
--- /dev/null
+++ b/src/history/play.h
@@ -0,0 +1,29 @@
+// Plays a history: membership, front, guards, ledger and module of several directors, and the client core of
+// several apps, together, on a simulated clock. No socket, no wall clock: the same history gives the same
+// record. What players and nodes saw goes into the record that `audit` judges.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "audit/audit.h"
+#include "director/director.h"
+#include "history/history.h"
+
+namespace lupinsill::history {
+
+struct Played {
+  audit::Record record;
+  std::vector<audit::Row> rows;
+  std::size_t wishes = 0, playing = 0, throttled = 0, terminated = 0, unknown = 0, unreachable = 0;
+  std::vector<Micros> comeBack;  // what those given up on were told, in order
+  std::size_t held = 0;          // held back by guards, over all directors
+  std::size_t broken() const;
+};
+
+// `plant`: see lab/plant.h; empty in earnest. `manners`: of the apps, where they are not the usual ones.
+Played play(const History& history, const std::string& plant = "");
+
+std::string shown(const Played& played);
+
+}  // namespace lupinsill::history
--- a/src/lab/plant.cpp
+++ b/src/lab/plant.cpp
@@ -33,6 +33,11 @@
       if (auto* told = std::get_if<ListTold>(&event)) list(*told);
       if (const auto* asked = std::get_if<Requested>(&event))
         rooms_[asked->viewing.sub] = asked->viewing.roomType;
+      // The module hears of a join where it sent it, wherever the plant did.
+      if (auto* ended = std::get_if<JoinEnded>(&event))
+        if (const auto it = sentTo_.find(ended->sub); it != sentTo_.end()) ended->node = it->second;
+      if (auto* noted = std::get_if<Noted>(&event))
+        if (const auto it = sentTo_.find(noted->sub); it != sentTo_.end()) noted->node = it->second;
       // A paid join that may have run is told as refused.
       if (auto* ended = std::get_if<JoinEnded>(&event); ended != nullptr && name_ == "join-again")
         if (ended->outcome == Outcome::error || ended->outcome == Outcome::timeout ||
@@ -58,6 +63,7 @@
   }
   void bend(Micros now, Action& action) {
     if (auto* join = std::get_if<Join>(&action)) {
+      sentTo_[join->sub] = join->node;
       if (name_ == "cold-burst")
         for (const auto& [id, entry] : nodes_)
           if (entry.state == NodeState::ready && entry.readyAt > 0 && now - entry.readyAt < terms_.coldTime)
@@ -81,6 +87,7 @@
   std::map<NodeId, ListEntry> nodes_;
   std::map<NodeId, bool> drained_;
   std::map<SubId, int> rooms_;
+  std::map<SubId, NodeId> sentTo_;
 };
 
 // Faults that a title names (src/script): a director that dies at a step, or cuts a call there. It does each
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "history/history.h"
 #include "lab/processes.h"
 #include "lab/stand_in.h"
 
@@ -76,8 +77,15 @@
   void loop(const std::function<bool()>& until);
   RunResult verdict(bool clean);
 
+  void happened(history::What what, int who, double much = 0) {
+    if (begun_) history_.happenings.push_back({stage_.now(), what, who, much, 0, 0, 0, 0});
+  }
+  void keepHistory();
+
   RunOptions options_;
   Day day_;
+  history::History history_;
+  bool begun_ = false;
   net::Base base_;
   audit::Record record_;
   model::World world_;
@@ -111,14 +119,19 @@
   nodes_.push_back(std::make_unique<StandIn>(stage_, id, cell, "zone" + std::to_string(cell % day_.zones),
                                              cold, options_.seed));
   byCell_[static_cast<std::size_t>(cell)] = nodes_.back().get();
+  if (cold) happened(history::What::start, static_cast<int>(id), cell);
   return *nodes_.back();
 }
 
 void Laboratory::retire(StandIn& node) {
-  if (!node.dead()) node.kill();
+  if (node.dead()) return;
+  happened(history::What::kill, static_cast<int>(node.node));
+  node.kill();
 }
 
 void Laboratory::list(NodeId node, NodeState state) {
+  if (state != NodeState::ready)
+    happened(state == NodeState::gone ? history::What::gone : history::What::drain, static_cast<int>(node));
   if (state == NodeState::gone)
     listed_.erase(node);
   else
@@ -188,12 +201,23 @@
 void Laboratory::script(const Trouble& t) {
   const Micros end = t.at + t.span;
   const auto on = [&](const std::vector<std::size_t>& cells, auto begin, auto finish) {
+    const auto tell = [this, kind = t.kind](const StandIn& n, double much) {
+      const auto id = static_cast<int>(n.node);
+      if (kind == Kind::hang) happened(history::What::hang, id, much > 0);
+      if (kind == Kind::answersLost) happened(history::What::lose, id, much > 0);
+      if (kind == Kind::fastErrors) happened(history::What::fail, id, much);
+      if (kind == Kind::linkCut) happened(history::What::linkCut, id, much);
+    };
     for (const std::size_t cell : cells) {
-      later(t.at, [this, cell, begin] {
-        if (!byCell_[cell]->dead()) begin(*byCell_[cell]);
+      later(t.at, [this, cell, begin, tell, much = std::max(t.much, 1e-3)] {
+        if (byCell_[cell]->dead()) return;
+        tell(*byCell_[cell], much);
+        begin(*byCell_[cell]);
       });
-      later(end, [this, cell, finish] {
-        if (!byCell_[cell]->dead()) finish(*byCell_[cell]);
+      later(end, [this, cell, finish, tell] {
+        if (byCell_[cell]->dead()) return;
+        tell(*byCell_[cell], 0);
+        finish(*byCell_[cell]);
       });
     }
   };
@@ -252,7 +276,14 @@
       }
       return;
     case Kind::listStale:
-      later(t.at, [this, end] { staleUntil_ = end; });
+      later(t.at, [this, end, span = t.span] {
+        for (int d = 0; d < day_.directors; ++d)
+          happened(history::What::late, d, static_cast<double>(span) / millisecond);
+        staleUntil_ = end;
+      });
+      later(end, [this] {
+        for (int d = 0; d < day_.directors; ++d) happened(history::What::late, d, 0);
+      });
       return;
     case Kind::reportsLate:
       later(t.at, [this, much = t.much] { stage_.laterBy = static_cast<Micros>(much * second); });
@@ -269,8 +300,14 @@
         const Micros at = t.kind == Kind::directorKill
                               ? t.at
                               : t.at + static_cast<Micros>(i) * t.span / static_cast<Micros>(hit.size());
-        later(at, [this, place] { processes_.kill(place, stage_.now(), record_); });
-        later(at + downTime, [this, place] { processes_.start(place); });
+        later(at, [this, place] {
+          happened(history::What::down, place);
+          processes_.kill(place, stage_.now(), record_);
+        });
+        later(at + downTime, [this, place] {
+          happened(history::What::up, place);
+          processes_.start(place);
+        });
       }
       return;
     }
@@ -279,8 +316,14 @@
       const auto n =
           std::max<std::size_t>(1, static_cast<std::size_t>(t.share * static_cast<double>(all) + 0.5));
       for (const std::size_t place : chance_.some(all, n)) {
-        later(t.at, [this, place] { processes_.stop(static_cast<int>(place), stage_.now()); });
-        later(end, [this, place] { processes_.go(static_cast<int>(place), stage_.now(), record_); });
+        later(t.at, [this, place] {
+          happened(history::What::stand, static_cast<int>(place), 1);
+          processes_.stop(static_cast<int>(place), stage_.now());
+        });
+        later(end, [this, place] {
+          happened(history::What::stand, static_cast<int>(place), 0);
+          processes_.go(static_cast<int>(place), stage_.now(), record_);
+        });
       }
       return;
     }
@@ -343,6 +386,7 @@
   for (auto& start : record_.starts) start.at -= early;
   for (auto& word : record_.words) word.at -= early;
   steppedAt_ = lookedAt_ = 0;
+  begun_ = true;
   for (const Trouble& trouble : day_.troubles) script(trouble);
   crowd_ = std::make_unique<Crowd>(stage_, processes_, drawArrivals(day_, options_.seed), options_.seed);
   loop([this] { return stage_.now() >= day_.length; });
@@ -350,9 +394,36 @@
   const Micros ends = stage_.now();
   loop([&] { return (crowd_->done() && acts_.empty()) || stage_.now() > ends + settleTime; });
   const bool clean = processes_.end();
+  if (!options_.historyFile.empty()) keepHistory();
   return verdict(clean);
 }
 
+// What the world did, without what the directors made of it: wishes as drawn, troubles as they hit.
+void Laboratory::keepHistory() {
+  history_.settingsFile =
+      std::filesystem::relative(day_.settingsFile,
+                                std::filesystem::absolute(options_.historyFile).parent_path())
+          .string();
+  history_.seed = options_.seed;
+  history_.directors = day_.directors;
+  history_.nodes = day_.nodes;
+  history_.zones = day_.zones;
+  history_.linkKb = day_.linkKb;
+  history_.setUpLeast = day_.setUpLeast;
+  history_.setUpMost = day_.setUpMost;
+  for (const Arrival& a : drawArrivals(day_, options_.seed)) {
+    history_.happenings.push_back(
+        {a.at, history::What::wish, a.viewer, 0, a.roomType, a.title, a.top, a.length});
+    if (a.manner == Manner::closer)
+      history_.happenings.push_back({a.at + 60 * millisecond, history::What::cut, a.viewer, 0, 0, 0, 0, 0});
+  }
+  std::stable_sort(history_.happenings.begin(), history_.happenings.end(),
+                   [](const history::Happening& a, const history::Happening& b) { return a.at < b.at; });
+  std::ofstream out(options_.historyFile);
+  history::write(out, history_);
+  if (!out.flush()) throw std::runtime_error(options_.historyFile + ": cannot be written");
+}
+
 RunResult Laboratory::verdict(bool clean) {
   RunResult result;
   audit::Figures figures;
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -152,3 +152,38 @@
     CHECK(brokenBy(r) == Rules{6});
   }
 }
+
+TEST_CASE("A node that came back may be sent joins, and its second drain counts as the first did") {
+  Record r = sound();
+  r.words = {{1, second, NodeState::draining}, {1, 3 * second, NodeState::ready}};
+  r.setUps.push_back(setUp(7 * second, 1, "d0-x-9", 0, "z"));
+  CHECK(brokenBy(r) == Rules{});
+  r.words.push_back({1, 5 * second, NodeState::draining});
+  CHECK(brokenBy(r) == Rules{3});
+  // A word that only one director could read binds that one alone.
+  r.words.back().director = 1;
+  CHECK(brokenBy(r) == Rules{});
+}
+
+TEST_CASE("A mute player's ask is judged by what it heard") {
+  Record r = sound();
+  r.asks[0].mute = true;
+  r.asks[0].answers.push_back({second, Kind::terminated});
+  CHECK(brokenBy(r) == Rules{1});
+  r.asks[0].answers.clear();
+  CHECK(brokenBy(r) == Rules{});
+}
+
+TEST_CASE("A player that closes at its very time-out, unanswered, was not answered") {
+  Record r = sound();
+  r.asks[0].answers.clear();
+  r.asks[0].closedAt = r.asks[0].at + r.asks[0].timeout;
+  CHECK(brokenBy(r) == Rules{1});
+}
+
+TEST_CASE("Paid asks without a key are not one ask") {
+  Record r = sound();
+  r.asks[0].askKey = r.setUps[0].askKey = "";
+  r.setUps.push_back(setUp(20 * ms, 2, "d0-x-7", 1, ""));
+  CHECK(brokenBy(r) == Rules{});
+}
