--- a/src/history/history.cpp
+++ b/src/history/history.cpp
@@ -22,7 +22,7 @@
     {"gone", What::gone},     {"kill", What::kill},       {"hang", What::hang},
     {"lose", What::lose},     {"fail", What::fail},       {"refuse", What::refuse},
     {"silent", What::silent}, {"connect", What::connect}, {"link-cut", What::linkCut},
-    {"repeat", What::repeat}, {"halve", What::halve},     {"late", What::late},
+    {"repeat", What::repeat}, {"thin", What::thin},     {"late", What::late},
     {"down", What::down},     {"up", What::up},           {"stand", What::stand},
     {"disk", What::disk},
 }};
@@ -185,7 +185,7 @@
         add(at(), What::repeat, 0);
         break;
       case 11:
-        add(at(), What::halve, 0);
+        add(at(), What::thin, 0);
         break;
       case 12:
         spell(What::late, director(), chance.between(100, 3000), 0);
--- a/src/history/history.h
+++ b/src/history/history.h
@@ -30,7 +30,7 @@
   connect,  // who: node, a handshake takes `much` ms
   linkCut,  // who: node, its link gives `much` times less
   repeat,   // the last word of the list once more, and one of before it
-  halve,    // a word of the list that lacks half the nodes; the next is whole
+  thin,     // a word of the list that lacks two thirds of the nodes; the next is whole
   late,     // who: director, hears the list `much` ms late
   down,     // who: director, killed
   up,       // who: director, started again
--- a/src/history/play.cpp
+++ b/src/history/play.cpp
@@ -805,10 +805,10 @@
     case What::repeat:
       for (Director& each : directors_) hand(each, word_, 0), hand(each, before_, 0);
       return;
-    case What::halve: {
+    case What::thin: {
       std::set<NodeId> without;
       for (const auto& [id, each] : nodes_)
-        if (id % 2 == 0) without.insert(id);
+        if (id % 3 != 0) without.insert(id);
       publish(without);
       return after(100 * ms, [this] { publish(); });
     }
