--- a/src/control.cpp
+++ b/src/control.cpp
@@ -118,7 +118,6 @@
   bool courtesy = false;
   bool overQuota = false;  // its tenant sends more than its share
   bool toldLink = false;   // the note at set-up has come
-  bool blind = false;      // set up where nothing had been read of late
 };
 
 struct Ask {
@@ -316,13 +315,6 @@
   double rate(const Sub& sub, int rung) const {
     return terms().ladderKb[static_cast<std::size_t>(rung)] * sub.room->rateFactor;
   }
-  double charge(const Sub& sub, int rung) const {
-    const bool shared = sub.room->live && std::any_of(subs.begin(), subs.end(), [&](const Sub* other) {
-                          return other != &sub && other->room == sub.room && other->rung == rung &&
-                                 other->viewing.title == sub.viewing.title;
-                        });
-    return rate(sub, rung) * (shared ? terms().joinAdds : 1);
-  }
   double linkUse() const;
   double rackUse() const { return uplink.value_or(uplinkGuess); }
   double use() const { return std::max(linkUse(), rackUse()); }
@@ -331,7 +323,6 @@
   }
   void feel(double before);
   void step(Sub& sub, int rung);
-  void settle(Sub& sub);
   bool unexplained() const { return shortNow() && delivered > 0.2 && linkUse() < 0.95 && !cold(); }
   void setKb(Sub& sub, double charged);
   bool paced(const Ask& ask);
@@ -473,7 +464,6 @@
 // join there waits longer than set-ups take, after failures, and then takes one trial at a time.
 bool Node::healthy() const {
   if (post.now < shutUntil) return false;
-  if (shortNow() && delivered < 0.4 && linkUse() < 1.2) return false;
   bool waiting = false;
   for (const Sub* other : subs) {
     if (other->playing) continue;
@@ -558,9 +548,8 @@
 void Node::take(Sub& sub, int rung, bool underWay) {
   subs.push_back(&sub);
   sub.rung = rung;
-  setKb(sub, charge(sub, rung));
+  setKb(sub, rate(sub, rung));
   if (underWay) return;
-  sub.blind = post.now - link.readAt > terms().reportsEvery;
   admitted.add(post.now, sub.kb);
   pacedAt = post.now;
 }
@@ -597,15 +586,12 @@
     }
     case Reading::rung:
       sub.rung = std::clamp(static_cast<int>(value), 0, static_cast<int>(terms().ladderKb.size()) - 1);
-      setKb(sub, charge(sub, sub.rung));
+      setKb(sub, rate(sub, sub.rung));
       break;
     case Reading::link:
       readLink(value, age);
       // Steps up by the link alone would overfill an uplink whose note is only a line behind.
-      if (sub.toldLink && !terms().uplinksReported)
-        react(link.about);
-      else if (!sub.toldLink && sub.blind)
-        settle(sub);
+      if (sub.toldLink && !terms().uplinksReported) react(link.about);
       sub.toldLink = true;
       break;
     case Reading::uplink:
@@ -673,19 +659,10 @@
     if (rung != sub->rung) step(*sub, rung);
 }
 
-// The note at set-up may be the first that this director hears of the node: the newcomer's rung is chosen
-// again by it, once, before others have to make room for it.
-void Node::settle(Sub& sub) {
-  const double room = roomUnder(highMark);
-  int rung = sub.rung;
-  while (rung > sub.room->floor && rate(sub, sub.rung) - rate(sub, rung) < -room) --rung;
-  if (rung != sub.rung) step(sub, rung);
-}
-
 void Node::step(Sub& sub, int rung) {
   sub.rung = rung;
   sub.stepped = post.now;
-  setKb(sub, charge(sub, rung));
+  setKb(sub, rate(sub, rung));
   post.out->push_back(SetRung{sub.id, rung});
 }
 
@@ -970,7 +947,7 @@
 Control& Control::operator=(Control&&) noexcept = default;
 
 // A director that stood still finds all that came meanwhile at once: what is told of nodes and joins holds
-// for every request of the same turn, and those nearest their client timeout go first.
+// for every request of the same turn.
 void Control::handle(Micros now, const std::vector<Event>& turn, std::vector<Action>& actions) {
   Post& post = parts_->post;
   if (now - post.now > 2 * tickSpan) post.wokeAt = now;
@@ -992,9 +969,6 @@
     std::visit([&](const auto& e) { parts_->on(e); }, event);
     post.run();
   }
-  std::stable_sort(requests.begin(), requests.end(), [](const Requested* a, const Requested* b) {
-    return a->viewing.giveUpAt < b->viewing.giveUpAt;
-  });
   for (const Requested* request : requests) {
     parts_->on(*request);
     post.run();
--- a/src/control.h
+++ b/src/control.h
@@ -34,7 +34,6 @@
   int floor = 0;
   int top = 0;
   int seats = 0;
-  bool live = false;
 };
 
 struct FurtherJoins {
@@ -60,7 +59,6 @@
   double weightKb = 0;
   double allLinksKb = 0;
   double rackKb = 0;
-  double joinAdds = 1;
   double refusesFrom = 0;
   double startCapacity = 1;
   double overloadFactor = 1;
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -237,10 +237,6 @@
       room.top = static_cast<int>(std::min<std::int64_t>(topRung, wholeIn(*v, "classTop", 0)));
     if (const Json* v = itemIn(listIn(domain, "seats"), place))
       room.seats = static_cast<int>(wholeIn(*v, "seats", 0, 1'000'000'000));
-    if (const Json* v = itemIn(listIn(domain, "live"), place)) {
-      if (!v->is_boolean()) bad("live", "not true or false");
-      room.live = v->get<bool>();
-    }
     names.roomTypes.push_back(name);
     terms.roomTypes.push_back(std::move(room));
   }
@@ -272,7 +268,6 @@
   read(domain, "weightKb", terms.weightKb);
   read(domain, "allLinksKb", terms.allLinksKb);
   read(domain, "rackKb", terms.rackKb);
-  read(domain, "joinAdds", terms.joinAdds);
   read(domain, "refusesFrom", terms.refusesFrom);
   read(rules, "startCapacity", terms.startCapacity);
   read(rules, "overloadFactor", terms.overloadFactor);
--- a/src/settings/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -59,7 +59,6 @@
     room.floor = whole(e, "floor");
     room.top = whole(e, "top");
     room.seats = whole(e, "seats");
-    room.live = yes(e, "live");
     if (room.top >= rungs)
       refuse(file, e,
              "top " + e.text("top") + ": expected a rung of the ladder, 0 to " + std::to_string(rungs - 1));
@@ -162,7 +161,6 @@
   t.rackKb = real(fleet, "rack-uplink-kb");
   t.weightKb = real(fleet, "weight-kb");
   t.refusesFrom = real(fleet, "refuses-from");
-  t.joinAdds = real(fleet, "join-adds");
   for (const Element& kind : fleet.children) {
     name(file, kind, d.kinds);
     t.placesByKind.push_back(whole(kind, "places"));
@@ -246,14 +244,14 @@
   say(now.ledgerFile != next.ledgerFile || now.ledgerMegabytes != next.ledgerMegabytes, "ledger");
   say(now.kinds != next.kinds || a.placesByKind != b.placesByKind || a.cells != b.cells ||
           a.racks != b.racks || a.allLinksKb != b.allLinksKb || a.rackKb != b.rackKb ||
-          a.weightKb != b.weightKb || a.refusesFrom != b.refusesFrom || a.joinAdds != b.joinAdds,
+          a.weightKb != b.weightKb || a.refusesFrom != b.refusesFrom,
       "fleet");
   say(a.ladderKb != b.ladderKb || a.rungBenefit != b.rungBenefit || a.switchSeconds != b.switchSeconds,
       "ladder");
   const auto differ = [](const RoomType& x, const RoomType& y) {
     return x.effect != y.effect || x.group != y.group || x.window != y.window ||
            x.joinObjective != y.joinObjective || x.benefit != y.benefit || x.rateFactor != y.rateFactor ||
-           x.floor != y.floor || x.top != y.top || x.seats != y.seats || x.live != y.live;
+           x.floor != y.floor || x.top != y.top || x.seats != y.seats;
   };
   say(now.roomTypes != next.roomTypes || now.clientTimeouts != next.clientTimeouts ||
           !std::equal(a.roomTypes.begin(), a.roomTypes.end(), b.roomTypes.begin(), b.roomTypes.end(),
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -115,7 +115,6 @@
     terms_.racks = l.whole("racks", terms_.racks);
     terms_.rackKb = l.number("rackKb", terms_.rackKb);
     terms_.weightKb = l.number("weightKb", terms_.weightKb);
-    terms_.joinAdds = l.number("adds", terms_.joinAdds);
     terms_.refusesFrom = l.number("refusesFrom", terms_.refusesFrom);
     terms_.overloadFactor = l.number("overload", terms_.overloadFactor);
     terms_.switchSeconds = l.number("switch", terms_.switchSeconds);
@@ -147,7 +146,6 @@
     room.floor = l.whole("floor", 0);
     room.top = l.whole("top", 3);
     room.seats = l.whole("seats", 0);
-    room.live = l.whole("live", 0) != 0;
     terms_.roomTypes.push_back(room);
   }
 
