Module hardened: silent nodes, doors, numbers, moved nodes, spans that the terms state

Seen, each by a scenario that failed before (sanitizers on): a full node whose readings stopped took six joins in half a second (silent; Gauge::now); a room type out of range read past the array and an id told twice left its node with a dangling pointer (doors; admit, AddressSanitizer); NaN closed the gate of a node at 0.2 and a rung note of NaN was cast to int (numbers; gate, hear); a node listed in another cell kept its old rack, so that rack's uplink closed it, and with more holders than cells the fuller of two nodes was drawn (moved; ListTold, place); with set-ups of 2 s a single join under way shut its node, with notes 15 s late what had come since was not added, with rounds of 30 s strangers were guessed from nothing (slow-world; slowJoin, movedSpan, meanSpan); a crowd of twelve was told 500 ms twelve times (come-back; giveUp).

Mended: readings fade in each director at its own time and a node that was full is tried by one join; the door passes over what is unsound, counts cells and holders itself, and clamps terms that cannot be; a node takes its rack's share along; long gone nodes are forgotten; slowJoin, movedSpan and meanSpan follow join objective, seenAfter and reportsEvery; one ComeBack spreads the times to return; the crowd at cold nodes is counted over a young director's life, and a cold node takes one join at a time; the hold after `full` doubles while the node stays full.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -28,22 +28,22 @@
 constexpr Micros askAgain = second;      // after a call for the list that failed
 constexpr Micros closeHold = 400'000;    // the paper holds 2 s; notes here are already seconds old
 constexpr Micros openHold = 200'000;     // the paper holds 10 s, a quarter of a subscription's life here
-constexpr Micros fullHold = 4 * second;  // about as long as a place takes to come free
+constexpr Micros fullHold = 4 * second;  // doubles while the node stays full, up to the courtesy span
 constexpr double spareShare = 0.5;       // of the spare room, per second
 constexpr double rateSpread = 0.15;      // titles run this far over their rung's rate
 constexpr double rackPart = 2;           // newcomers that may meet in an uplink's room
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
-constexpr Micros slowJoin = 500'000;          // a set-up takes a tenth of a second or two
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
 constexpr Micros comersSpan = 30 * second;
 constexpr double letThrough = 0.5;        // of a turn's set-ups, by chance: together they may come in a heap
 constexpr double drawnOf = 4;             // holders to one set-up: two are drawn, and half may be closed
-constexpr Micros movedSpan = 8 * second;  // more than notes are ever late
-constexpr Micros meanSpan = 3 * second;   // of the readings that tell of links not read: crowds come fast
+constexpr Micros meanSpan = 3 * second;   // of the readings that tell of links not read, or a round of notes
 constexpr Micros readSpan = 10 * second;  // in which a reading not renewed loses its say
 constexpr double jamMark = 1.08;          // over it a shortage costs more than steps: half the dwell
 constexpr Micros dwell = 8 * second;      // between two steps of one subscription
+constexpr double readMost = 20;           // no link is asked for more; a shortage says 1 / 0.05 at most
+constexpr Micros advised = 500'000;       // the middle of the times to come back, where they may be told
 
 // What happened over the last Span, counted in buckets of time that are used again.
 template <int Buckets>
@@ -79,6 +79,7 @@
 };
 
 struct Node;
+struct Cell;
 struct Rack;
 struct Sub;
 
@@ -188,7 +189,9 @@
 // The one loop: parts whose inboxes hold notes, in the order in which they were written to.
 struct Post {
   explicit Post(Terms handed, std::uint64_t seed)
-      : terms(std::move(handed)), chance(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+      : terms(made(std::move(handed))),
+        chance(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+        comeBack(terms) {
     const std::size_t steps = terms.ladderKb.size() - 1;
     for (const RoomType& room : terms.roomTypes)
       for (std::size_t rung = 0; rung < steps; ++rung)
@@ -207,12 +210,32 @@
       part.read(note);
     }
   }
+  // Guards against terms that cannot be: everything behind divides by them or indexes with them.
+  static Terms made(Terms t) {
+    if (t.ladderKb.empty()) t.ladderKb = {1};
+    t.rungBenefit.resize(t.ladderKb.size(), t.rungBenefit.empty() ? 1 : t.rungBenefit.back());
+    const int last = static_cast<int>(t.ladderKb.size()) - 1;
+    for (RoomType& room : t.roomTypes)
+      room.floor = std::clamp(room.floor, 0, last), room.top = std::clamp(room.top, room.floor, last);
+    t.directors = std::max(1, t.directors);
+    t.ordinal = std::clamp(t.ordinal, 0, t.directors - 1);
+    t.startCapacity = std::max(1e-3, t.startCapacity);
+    t.overloadFactor = std::max(1e-3, t.overloadFactor);
+    return t;
+  }
+  // What a set-up may take: from then on it leaves too little of the join objective for another one.
+  static Micros enough(const RoomType& room) { return std::max<Micros>(300'000, room.joinObjective / 2); }
+  // How long a reading stands: three rounds of notes, as late as they come.
+  Micros stands() const { return 3 * std::max(terms.reportsEvery, second) + terms.seenAfter; }
+  // Changes are kept for as long as a note may be late.
+  Micros movedSpan() const { return 2 * std::max(terms.seenAfter, second); }
   double gainPerKb(const RoomType& room, std::size_t rung) const {  // of the step from rung to rung + 1
     const double kb = (terms.ladderKb[rung + 1] - terms.ladderKb[rung]) * room.rateFactor;
     return std::max(1e-9, room.benefit * (terms.rungBenefit[rung + 1] - terms.rungBenefit[rung]) / kb);
   }
   Terms terms;
   std::minstd_rand chance;
+  ComeBack comeBack;
   Micros now = 0;
   Micros born = 0;
   Micros wokeAt = 0;      // the end of the last stretch in which this director got no turn
@@ -230,9 +253,10 @@
   Micros about = 0;  // the moment that the reading speaks of
   bool known = false;
 
-  // A reading nobody renews says less and less: in the end the limit is like any other not read.
+  // A reading nobody renews says less and less: in the end the limit is like any other not read. Each
+  // director lets go at its own time, since what was full is full for all of them.
   double now(const Post& post, double ours, double capacity, double guess, Micros span = readSpan) const {
-    const Micros due = 3 * std::max(post.terms.reportsEvery, second) + post.terms.seenAfter;
+    const Micros due = post.stands() + readSpan * post.terms.ordinal / post.terms.directors;
     const double faded =
         std::clamp(static_cast<double>(post.now - readAt - due) / static_cast<double>(span), 0.0, 1.0);
     const double read = std::max(0.0, use + (ours - oursThen) / capacity);
@@ -241,7 +265,7 @@
 };
 
 struct Rack : Part {
-  using Part::Part;
+  explicit Rack(Post& office) : Part(office), moved(office.movedSpan()) {}
   struct Held {
     Node* node = nullptr;
     double kb = 0;
@@ -251,7 +275,7 @@
   };
   std::vector<Held> nodes;
   Gauge gauge;
-  Tally<64> moved{movedSpan};  // kb come and gone: late notes speak of then, not of now
+  Tally<64> moved;  // kb come and gone: late notes speak of then, not of now
   double kb = 0;
   bool felt = false;  // the gauge is inferred from short delivery, not read
 
@@ -270,16 +294,18 @@
 };
 
 struct Node : Part {
-  Node(Post& office, Part& front, NodeId number) : Part(office), desk(&front) {
+  Node(Post& office, Part& front, NodeId number) : Part(office), desk(&front), moved(office.movedSpan()) {
     listing.node = number, listing.state = NodeState::gone;
   }
   Part* desk;
   ListEntry listing;  // as last told, but for an earlier start
   Rack* rack = nullptr;
+  Cell* cell = nullptr;  // in whose list it stands
+  Micros goneAt = 0;
 
   std::vector<Sub*> subs;
   double kb = 0;
-  Tally<64> moved{movedSpan};  // kb come and gone: late notes speak of then, not of now
+  Tally<64> moved;  // kb come and gone: late notes speak of then, not of now
   Gauge link;
   std::optional<double> uplink;  // as its rack tells it
   double linkGuess = unreadUse;
@@ -290,6 +316,7 @@
   Micros turningSince = 0;  // past the mark at which the gate turns
   Tally<10> admitted{second};
   int strikes = 0;
+  int fulls = 0;  // in a row
   Tally<10> failures{20 * second};
   Micros shutUntil = 0;
   Micros lostAt = 0;  // a sign that the process died: whatever comes back is cold
@@ -327,6 +354,10 @@
   void setKb(Sub& sub, double charged);
   bool paced(const Ask& ask);
   bool healthy() const;
+  bool awaits() const {  // a set-up that has not begun
+    return std::any_of(subs.begin(), subs.end(), [](const Sub* sub) { return !sub->playing; });
+  }
+  bool spoken() const;
   bool eligible(const Sub& sub) const;
   void gate();
   void strike();
@@ -342,23 +373,28 @@
   void listed(const std::optional<ListEntry>& told);
 };
 
+struct Cell {
+  std::vector<Node*> nodes;
+  Tally<10> comers{comersSpan};
+};
+
 struct Desk : Part {
   explicit Desk(Post& office)
       : Part(office),
+        linkSum(office.terms.reportsEvery > meanSpan ? office.terms.reportsEvery : meanSpan),
+        linkCount(linkSum),
+        uplinkSum(linkSum),
+        uplinkCount(linkSum),
         requests(office.terms.furtherJoins ? office.terms.furtherJoins->window : second),
         further(office.terms.furtherJoins ? office.terms.furtherJoins->window : second) {}
   std::map<SubId, std::unique_ptr<Sub>> subs;
   std::map<NodeId, std::unique_ptr<Node>> nodes;
   std::map<int, std::unique_ptr<Rack>> racks;
-  struct Cell {
-    std::vector<Node*> nodes;
-    Tally<10> comers{comersSpan};
-  };
   std::map<int, Cell> cells;
   std::map<std::pair<std::string, int>, int> seats;
   std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
   std::map<int, Tally<10>> partyRate;
-  Tally<10> linkSum{meanSpan}, linkCount{meanSpan}, uplinkSum{meanSpan}, uplinkCount{meanSpan};
+  Tally<10> linkSum, linkCount, uplinkSum, uplinkCount;
   Tally<20> requests;
   Tally<20> further;
 
@@ -449,6 +485,8 @@
 bool Node::paced(const Ask& ask) {
   const bool unsure = post.now - post.born < terms().coldTime;
   if (!cold() && !unsure) return true;
+  // Guards against joins that wait for a connection or a disk and then leave in a heap.
+  if (cold() && awaits()) return false;
   const double bears = places() * terms().startCapacity * terms().overloadFactor /
                        static_cast<double>(terms().coldTime);  // set-ups a microsecond
   const auto turn = std::max<Micros>(1, static_cast<Micros>(2 / bears));
@@ -456,7 +494,9 @@
     return post.now / turn % terms().directors == terms().ordinal && post.now % turn < turn / 2 &&
            post.now - pacedAt >= turn;
   const double own = (ask.comers - (cold() ? 0 : 1)) * std::min(1.0, drawnOf / ask.sub->viewing.holders);
-  const double likely = own * terms().directors * static_cast<double>(turn) / static_cast<double>(comersSpan);
+  // A young director has counted for as long as it lives: after all restarted, all are young together.
+  const Micros counted = std::clamp<Micros>(post.now - post.born, second, comersSpan);
+  const double likely = own * terms().directors * static_cast<double>(turn) / static_cast<double>(counted);
   return post.now - pacedAt >= turn && likely * static_cast<double>(post.chance() % 1000) < 1000 * letThrough;
 }
 
@@ -468,11 +508,18 @@
   for (const Sub* other : subs) {
     if (other->playing) continue;
     waiting = true;
-    if (post.now - std::max(other->sent, post.wokeAt) > slowJoin) return false;
+    if (post.now - std::max(other->sent, post.wokeAt) > Post::enough(*other->room)) return false;
   }
   return strikes == 0 || !waiting;
 }
 
+// Guards against readings that stop for good: a node that was full is not open because nobody speaks of it
+// any more. It is tried by one join, which brings a reading; where it does not, by the next as much later.
+bool Node::spoken() const {
+  return !link.known || link.use <= lowMark || post.now - link.readAt <= post.stands() ||
+         post.now - pacedAt > post.stands();
+}
+
 bool Node::eligible(const Sub& sub) const {
   const int cells = std::max(1, terms().cells);
   const int offset = ((listing.cell - sub.viewing.firstCell) % cells + cells) % cells;
@@ -524,7 +571,7 @@
   Offer offer{&sub,
               this,
               !closed && !(sub.overQuota && use() > idleMark),
-              eligible(sub) && healthy() && paced(ask),
+              eligible(sub) && healthy() && spoken() && paced(ask),
               failures.sum(post.now) == 0,
               listing.zone == terms().zone,
               false,
@@ -559,7 +606,7 @@
   std::erase(subs, &sub);
   if (outcome == Outcome::connectFailed || outcome == Outcome::reset) lostAt = post.now;
   if (outcome == Outcome::full) {
-    shutUntil = std::max(shutUntil, post.now + fullHold);
+    shutUntil = std::max(shutUntil, post.now + std::min(courtesySpan, fullHold << std::min(3, fulls++)));
     if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0);
   } else if (outcome != Outcome::ok && outcome != Outcome::cancelled && outcome != Outcome::moot) {
     strike();
@@ -678,6 +725,7 @@
 }
 
 void Node::listed(const std::optional<ListEntry>& told) {
+  if (!told || told->state == NodeState::gone) goneAt = post.now;
   if (!told) return void(listing.state = NodeState::gone);
   const Micros before = listing.readyAt;
   listing = *told;
@@ -699,7 +747,7 @@
           if (n.react != 0) react(n.react);
         }
         if constexpr (std::is_same_v<N, Play>)
-          strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
+          fulls = 0, strikes = failures.sum(post.now) > 0 ? std::max(1, strikes - 1) : 0;
       },
       note);
 }
@@ -815,7 +863,7 @@
 Micros Desk::patience(const Sub& sub) {
   if (sub.room->effect == Effect::once || sub.joins >= post.terms.maxJoins) return 0;
   const Micros left = sub.viewing.giveUpAt - now();
-  const Micros wait = std::max<Micros>(300'000, sub.room->joinObjective / 2);
+  const Micros wait = Post::enough(*sub.room);
   return left < wait + 300'000 ? 0 : wait;
 }
 
@@ -832,7 +880,7 @@
   const bool mayReturn = !sub.ran || sub.room->effect == Effect::repeatable ||
                          (sub.room->effect == Effect::byKey && sub.room->group == Group::all);
   if (mayReturn)
-    act(Throttle{sub.id, post.terms.retryAfter ? std::min<Micros>(post.terms.maxRetryAfter, 500'000) : 0});
+    act(Throttle{sub.id, post.comeBack.next()});
   else
     act(Terminate{sub.id});
   subs.erase(sub.id);
@@ -857,31 +905,74 @@
     if (!slot) slot = std::make_unique<Node>(post, desk, id);
     return *slot;
   }
+  bool knows(int roomType) const {
+    return roomType >= 0 && static_cast<std::size_t>(roomType) < post.terms.roomTypes.size();
+  }
   Sub& admit(const Viewing& viewing) {
     auto sub = std::make_unique<Sub>();
     sub->id = viewing.sub;
     sub->viewing = viewing;
+    // Each cell once, counted from nought: a node asked twice would be both of the two drawn.
+    const int all = std::max(1, post.terms.cells);
+    sub->viewing.firstCell = (viewing.firstCell % all + all) % all;
+    sub->viewing.holders = std::clamp(viewing.holders, 0, all);
+    if (viewing.party >= static_cast<int>(post.terms.quotaPerSecond.size())) sub->viewing.party = -1;
     sub->roomIndex = viewing.roomType;
     sub->room = &post.terms.roomTypes[static_cast<std::size_t>(viewing.roomType)];
     return *(desk.subs[viewing.sub] = std::move(sub));
   }
 
+  // Takes with it what the node carries; a machine may be moved.
+  void stand(Node& n, Rack* rack) {
+    if (n.rack == rack) return;
+    if (n.rack != nullptr) {
+      n.rack->kb -= n.rack->of(&n).kb;
+      std::erase_if(n.rack->nodes, [&](const Rack::Held& held) { return held.node == &n; });
+    }
+    n.rack = rack;
+    n.uplink.reset();
+    if (rack == nullptr) return;
+    rack->nodes.emplace_back().node = &n;
+    rack->nodes.back().kb = n.kb;
+    rack->kb += n.kb;
+  }
+  // Guards against a fleet whose nodes are replaced for weeks: one long gone, with nothing left that speaks
+  // of it, is let go. If its number comes back it is new.
+  void forget() {
+    const Micros before = post.now - std::max(post.terms.coldTime, 2 * courtesySpan);
+    std::vector<Node*> held;
+    for (const auto& [id, sub] : desk.subs) {
+      held.insert(held.end(), sub->tried.begin(), sub->tried.end());
+      held.push_back(sub->ran);
+      held.push_back(sub->at);
+    }
+    std::erase_if(desk.nodes, [&](const auto& entry) {
+      Node& n = *entry.second;
+      if (n.listing.state != NodeState::gone || n.goneAt == 0 || n.goneAt > before || !n.subs.empty() ||
+          std::find(held.begin(), held.end(), &n) != held.end())
+        return false;
+      stand(n, nullptr);
+      if (n.cell != nullptr) std::erase(n.cell->nodes, &n);
+      return true;
+    });
+  }
+
   void on(const ListTold& told) {
     if (told.kind == ListKind::lost) return void(askAgainAt = post.now + askAgain);
+    forget();
     if (told.kind != ListKind::changes) {
       for (auto& [id, n] : desk.nodes) post.send(*n, Listed{});
       for (auto& [number, cell] : desk.cells) cell.nodes.clear();
     }
     for (const ListEntry& entry : told.entries) {
       Node& n = node(entry.node);
-      auto& inCell = desk.cells[entry.cell].nodes;
-      std::erase(inCell, &n);
-      if (entry.state == NodeState::ready) inCell.push_back(&n);
-      if (n.rack == nullptr && post.terms.racks > 0) {
+      if (n.cell != nullptr) std::erase(n.cell->nodes, &n);
+      n.cell = &desk.cells[entry.cell];
+      if (entry.state == NodeState::ready) n.cell->nodes.push_back(&n);
+      if (post.terms.racks > 0) {
         auto& rack = desk.racks[entry.cell % post.terms.racks];
         if (!rack) rack = std::make_unique<Rack>(post);
-        n.rack = rack.get();
-        rack->nodes.emplace_back().node = &n;
+        stand(n, rack.get());
       }
       post.send(n, Listed{entry});
     }
@@ -892,8 +983,14 @@
         places += post.terms.placesByKind[k];
     if (places > 0) post.kbPerPlace = post.terms.allLinksKb / places;
   }
-  void on(const Requested& e) { post.send(desk, Start{&admit(e.viewing)}); }
+  void on(const Requested& e) {
+    if (find(e.viewing.sub) != nullptr) return;
+    // Nothing can be known of it, so it may not be told to come again either.
+    if (!knows(e.viewing.roomType)) return desk.act(Terminate{e.viewing.sub});
+    post.send(desk, Start{&admit(e.viewing)});
+  }
   void on(const UnderWay& e) {
+    if (find(e.viewing.sub) != nullptr || !knows(e.viewing.roomType)) return;
     Sub& sub = admit(e.viewing);
     sub.playing = sub.answered = sub.toldLink = true;
     sub.began = post.now;
@@ -910,16 +1007,30 @@
     sub->began = post.now;
     post.send(*sub->at, Play{});
   }
+  // Guards against numbers that are none: they pass every comparison and poison every sum.
+  static bool sound(double& value) {
+    if (!std::isfinite(value) || value < 0) return false;
+    value = std::min(value, readMost);
+    return true;
+  }
   void on(const Noted& e) {
     Sub* sub = find(e.sub);
     if (sub == nullptr || sub->at == nullptr || sub->at->listing.node != e.node) return;
-    post.send(*sub->at, Hear{sub, e.reading, e.value});
+    double value = e.value;
+    if (e.reading == Reading::rung && std::isfinite(value))
+      value = std::clamp(value, 0.0, static_cast<double>(post.terms.ladderKb.size() - 1));
+    else if (!sound(value))
+      return;
+    post.send(*sub->at, Hear{sub, e.reading, value});
   }
   void on(const JoinEnded& e) {
     Sub* sub = find(e.sub);
     if (sub == nullptr || sub->at == nullptr || sub->at->listing.node != e.node || e.join != sub->joins - 1)
       return;
-    const Ended ended{sub, e.outcome, e.report, e.settled};
+    Ended ended{sub, e.outcome, e.report, e.settled};
+    for (std::optional<double>* told :
+         {&ended.report.linkShare, &ended.report.linkUse, &ended.report.uplinkUse})
+      if (*told && !sound(**told)) told->reset();
     post.send(*sub->at, ended);
     post.send(desk, ended);
   }
@@ -941,6 +1052,15 @@
   }
 };
 
+ComeBack::ComeBack(const Terms& terms)
+    : middle_(terms.retryAfter ? std::min(advised, terms.maxRetryAfter * 2 / 3) : 0),
+      place_(0.618034 * terms.ordinal) {}
+
+Micros ComeBack::next() {
+  place_ = std::fmod(place_ + 0.618034, 1.0);
+  return middle_ / 2 + static_cast<Micros>(place_ * static_cast<double>(middle_));
+}
+
 Control::Control(Terms terms, std::uint64_t seed) : parts_(std::make_unique<Parts>(std::move(terms), seed)) {}
 Control::~Control() = default;
 Control::Control(Control&&) noexcept = default;
--- a/src/control.h
+++ b/src/control.h
@@ -181,6 +181,19 @@
 
 struct FollowList {};
 
+// When a viewer that is turned away should come back, decided here for the module and for the front before
+// it. Guards against a crowd throttled in one moment that is told to return in one moment: each next one is
+// told another time, evenly spread over half to one and a half of the middle, the same on every run.
+class ComeBack {
+ public:
+  explicit ComeBack(const Terms& terms);
+  Micros next();  // 0: none may be told
+
+ private:
+  Micros middle_ = 0;
+  double place_ = 0;
+};
+
 using Action = std::variant<SetRung, Join, CallOff, Throttle, Terminate, SetAlarm, FollowList>;
 
 class Control {
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -120,6 +120,7 @@
     terms_.switchSeconds = l.number("switch", terms_.switchSeconds);
     terms_.coldTime = l.ms("cold", static_cast<double>(terms_.coldTime) / 1000);
     terms_.fallTime = l.ms("fall", static_cast<double>(terms_.fallTime) / 1000);
+    terms_.seenAfter = l.ms("seen", static_cast<double>(terms_.seenAfter) / 1000);
     terms_.reportsEvery = l.ms("reports", static_cast<double>(terms_.reportsEvery) / 1000);
     terms_.retryAfter = l.whole("retryAfter", terms_.retryAfter) != 0;
     terms_.uplinksReported = l.whole("uplinks", terms_.uplinksReported) != 0;
@@ -174,6 +175,7 @@
     const auto it = std::find(rooms_.begin(), rooms_.end(), l.text("room", rooms_.at(0)));
     REQUIRE(it != rooms_.end());
     v.roomType = static_cast<int>(it - rooms_.begin());
+    if (l.has("roomIndex")) v.roomType = l.whole("roomIndex");
     v.title = l.text("title", "t");
     v.viewer = l.text("viewer", "v-" + l.words.at(1));
     v.firstCell = l.whole("cell", 0);
