--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -112,6 +112,7 @@
     terms_.directors = l.whole("directors", terms_.directors);
     terms_.ordinal = l.whole("ordinal", terms_.ordinal);
     terms_.maxJoins = l.whole("joins", terms_.maxJoins);
+    terms_.cells = l.whole("cells", terms_.cells);
     terms_.racks = l.whole("racks", terms_.racks);
     terms_.rackKb = l.number("rackKb", terms_.rackKb);
     terms_.weightKb = l.number("weightKb", terms_.weightKb);
