--- a/client/core/core.cpp
+++ b/client/core/core.cpp
@@ -35,26 +35,7 @@
 Core::Core(std::vector<DirectorAt> directors, Manners manners, std::uint64_t seed)
     : manners_(std::move(manners)),
       chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
-  setDirectors(std::move(directors));
-}
-
-void Core::setDirectors(std::vector<DirectorAt> directors) {
-  std::vector<Known> next;
-  for (DirectorAt& at : directors) {
-    Known known{std::move(at), 0, 0};
-    for (const Known& old : directors_)
-      if (old.at.address == known.at.address) known.shunUntil = old.shunUntil, known.failures = old.failures;
-    next.push_back(std::move(known));
-  }
-  // Tries that are out keep their meaning though places have moved.
-  for (auto& [id, held] : held_) {
-    if (held.state != State::trying || held.director >= directors_.size()) continue;
-    const std::string& address = directors_[held.director].at.address;
-    const auto it =
-        std::find_if(next.begin(), next.end(), [&](const Known& k) { return k.at.address == address; });
-    held.director = it == next.end() ? next.size() : static_cast<std::size_t>(it - next.begin());
-  }
-  directors_ = std::move(next);
+  for (DirectorAt& at : directors) directors_.push_back({std::move(at), 0, 0});
 }
 
 Micros Core::jitter(Micros most) {
--- a/client/core/core.h
+++ b/client/core/core.h
@@ -121,8 +121,6 @@
   void tick(Micros now, std::vector<Act>& acts);
   // When to tick though nothing happens; the largest time where nothing is due.
   Micros due() const;
-  // The list of directors changed; places of those that stay named keep what is known of them.
-  void setDirectors(std::vector<DirectorAt> directors);
   const Counts& counts() const { return counts_; }
 
  private:
--- a/client/core/core.ts
+++ b/client/core/core.ts
@@ -114,7 +114,7 @@
 export class Core {
   private readonly manners: Manners;
   private readonly chance: Chance;
-  private directors: Known[] = [];
+  private readonly directors: Known[];
   private readonly held = new Map<number, Held>();
   private readonly tries = new Map<number, number>();
   private readonly dues: { at: Micros; wish: number }[] = []; // ordered by time, then by when it was noted
@@ -126,21 +126,7 @@
   constructor(directors: DirectorAt[], manners: Manners, seed: number) {
     this.manners = manners;
     this.chance = new Chance(seed);
-    this.setDirectors(directors);
-  }
-
-  setDirectors(directors: DirectorAt[]): void {
-    const next: Known[] = directors.map((at) => {
-      const old = this.directors.find((k) => k.at.address === at.address);
-      return { at, shunUntil: old?.shunUntil ?? 0, failures: old?.failures ?? 0 };
-    });
-    // Tries that are out keep their meaning though places have moved.
-    for (const held of this.held.values()) {
-      const known = this.directors[held.director];
-      if (!held.trying || known === undefined) continue;
-      held.director = next.findIndex((k) => k.at.address === known.at.address);
-    }
-    this.directors = next;
+    this.directors = directors.map((at) => ({ at, shunUntil: 0, failures: 0 }));
   }
 
   // ---- events ----
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -690,3 +690,26 @@
   CHECK(answered > 20'000);
   CHECK(setUps > 4'000);
 }
+
+// The stated sum of all links is spread over the places of the first list, and never again (F21 of the
+// review).
+TEST_CASE("A first list that names a part of the fleet does not make its links look wider", "[!shouldfail]") {
+  const auto rungAfter = [](NodeId first) {
+    Terms stated = terms();
+    stated.allLinksKb = 1600;  // four nodes of 400 kB
+    Control control(stated, 1);
+    std::vector<Action> actions;
+    ListTold list{ListKind::total, {}};
+    for (NodeId n = 1; n <= 4; ++n) {
+      list.entries.push_back({n, NodeState::ready, 0, 1, static_cast<int>(n) - 1, 0, "a"});
+      if (n >= first) control.handle(n * second, {list}, actions);
+    }
+    actions.clear();
+    control.handle(60 * second, {Requested{{1, "t", "v", 0, -1, 0, 4, 2, 64 * second, std::nullopt, false}}},
+                   actions);
+    for (const Action& action : actions)
+      if (const auto* rung = std::get_if<SetRung>(&action)) return rung->rung;
+    return -1;
+  };
+  CHECK(rungAfter(1) == rungAfter(4));
+}
