Strangers are guessed from half a round of notes, three seconds at least

Half a round is the three seconds of before in every deployment and still follows rounds of 30 s (slow-world.txt, which fails with the fixed span).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -36,9 +36,10 @@
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
 constexpr Micros comersSpan = 30 * second;
-constexpr double letThrough = 0.5;        // of a turn's set-ups, by chance: together they may come in a heap
-constexpr double drawnOf = 4;             // holders to one set-up: two are drawn, and half may be closed
-constexpr Micros meanSpan = 3 * second;   // of the readings that tell of links not read, or a round of notes
+constexpr double letThrough = 0.5;  // of a turn's set-ups, by chance: together they may come in a heap
+constexpr double drawnOf = 4;       // holders to one set-up: two are drawn, and half may be closed
+constexpr Micros meanSpan =
+    3 * second;  // of the readings that tell of links not read, or half a round of notes
 constexpr Micros readSpan = 10 * second;  // in which a reading not renewed loses its say
 constexpr double jamMark = 1.08;          // over it a shortage costs more than steps: half the dwell
 constexpr Micros dwell = 8 * second;      // between two steps of one subscription
@@ -381,7 +382,7 @@
 struct Desk : Part {
   explicit Desk(Post& office)
       : Part(office),
-        linkSum(office.terms.reportsEvery > meanSpan ? office.terms.reportsEvery : meanSpan),
+        linkSum(std::max(meanSpan, office.terms.reportsEvery / 2)),
         linkCount(linkSum),
         uplinkSum(linkSum),
         uplinkCount(linkSum),
