--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -77,7 +77,10 @@
       const SetUpSeen& b = *list[i + 1];
       const Micros until = a.endedAt < 0 ? b.at + 3'600'000'000 : a.endedAt;
       overlap = std::max(overlap, until - b.at);
-      if (until - b.at > f.orderSlack) broke(row, "subscription " + sub + ": two joins out at " + ms(b.at));
+      if (until - b.at > f.orderSlack)
+        broke(row, "subscription " + sub + ": two joins out at " + ms(b.at) + ", at node " +
+                       std::to_string(a.node) + " since " + ms(a.at) + " and at node " +
+                       std::to_string(b.node));
     }
   for (auto& [ask, list] : byAsk) {
     std::size_t ran = 0;
--- a/src/history/history.cpp
+++ b/src/history/history.cpp
@@ -111,6 +111,8 @@
   h.seed = seed;
   const Terms& terms = h.deployment.terms;
   h.directors = 1 + static_cast<int>(chance.below(4));
+  const bool blackout = seed % 8 == 0;
+  if (blackout) h.directors = 12;
   h.nodes = std::max(1, terms.cells);
   h.zones = 1 + static_cast<int>(chance.below(2));
   h.linkKb = terms.weightKb * chance.between(0.3, 1.2);
@@ -213,6 +215,21 @@
   if (chance.comes(0.3)) add(at(), What::restart, node());
   if (chance.comes(0.2))
     add(at(), What::recell, node(), static_cast<double>(chance.below(static_cast<std::size_t>(h.nodes))));
+  // Every eighth is of many directors that all lose their power with all the nodes, in the middle of a crowd.
+  if (blackout) {
+    const Micros when = chance.span(3 * second, 16 * second);
+    for (int n = 1; n <= h.nodes; ++n) add(when + chance.span(0, 200 * ms), What::restart, n);
+    for (int d = 0; d < h.directors; ++d) {
+      add(when, What::down, d);
+      add(when + chance.span(100 * ms, 500 * ms), What::up, d);
+    }
+    for (int viewer = wishes + 1; viewer <= wishes + 400; ++viewer)
+      h.happenings.push_back({when + chance.span(0, 3 * second), What::wish, viewer, 0,
+                              viewer % 3 == 0 ? 0 : -1, viewer % 6, 1, 2 * second});
+    for (Happening& one : h.happenings)
+      if (one.what == What::wish && one.room < 0)
+        one.room = static_cast<int>(chance.below(terms.roomTypes.size()));
+  }
   byTime(h.happenings);
   return h;
 }
--- a/src/history/play.cpp
+++ b/src/history/play.cpp
@@ -56,6 +56,7 @@
     session::SetUp order;
     bool written = false;
     bool connecting = false;
+    Micros process = 0;  // that it was written to, by its start
   };
   struct Director {
     int place = 0;
@@ -68,7 +69,7 @@
     std::unique_ptr<intake::Reception> reception;
     std::deque<std::function<void()>> inbox;  // what waits in its sockets while it stands
     std::map<JoinKey, JoinAt> joins;
-    std::set<NodeId> connected;
+    std::map<NodeId, Micros> connected;                   // to the process that started then
     std::map<Line, std::pair<int, client::TryId>> lines;  // app and try
     std::map<Line, std::size_t> asked;                    // place in the record
     Line nextLine = 0;
@@ -109,7 +110,7 @@
     int cell = 0;
     NodeState listed = NodeState::ready;
     bool alive = true, cold = false, draining = false, inList = true;
-    Micros startedAt = 0;
+    Micros startedAt = 0;  // what was sent to an earlier process is lost with its connection
     bool hang = false, lose = false, refuse = false, silent = false;
     double fail = 0;
     Micros connect = 3 * ms;
@@ -382,7 +383,7 @@
 }
 
 void Theatre::setUp(Director& d, const session::SetUp& order) {
-  d.joins[order.join] = {order, false, false};
+  d.joins[order.join].order = order;
   Node* n = node(static_cast<int>(order.node));
   if (n == nullptr) return ended(d, order.join, Outcome::connectFailed, false);
   if (d.connected.contains(order.node)) return write(d, order.join);
@@ -395,7 +396,7 @@
             if (!d.joins.contains(key)) return;
             if (!reached || !nodes_.at(to)->alive) return ended(d, key, Outcome::connectFailed, false);
             // All that wait for this connection leave in one heap, as they do on a socket.
-            d.connected.insert(to);
+            d.connected[to] = nodes_.at(to)->startedAt;
             std::vector<JoinKey> waiting;
             for (const auto& [one, join] : d.joins)
               if (join.order.node == to && join.connecting) waiting.push_back(one);
@@ -412,9 +413,10 @@
   join.connecting = false;
   if (!d.front->leaves(now_, key)) return ended(d, key, Outcome::moot, false);
   join.written = true;
-  after(wire, [this, &d, run = d.run, order = join.order] {
+  join.process = d.connected.at(join.order.node);
+  after(wire, [this, &d, run = d.run, order = join.order, process = join.process] {
     Node& n = *nodes_.at(order.node);
-    if (n.alive && d.run == run && d.up) arrive(n, d, order);
+    if (n.alive && n.startedAt == process && d.run == run && d.up) arrive(n, d, order);
   });
 }
 
@@ -583,13 +585,13 @@
   world_.removeNode(n.id);
   for (Director& d : directors_)
     if (d.up)
-      reach(d, [this, &d, to = n.id] {
-        d.connected.erase(to);
-        std::vector<std::pair<JoinKey, bool>> lost;
+      reach(d, [this, &d, to = n.id, process = n.startedAt] {
+        if (const auto it = d.connected.find(to); it != d.connected.end() && it->second == process)
+          d.connected.erase(it);
+        std::vector<JoinKey> lost;
         for (const auto& [key, join] : d.joins)
-          if (join.order.node == to && !join.connecting) lost.emplace_back(key, join.written);
-        for (const auto& [key, written] : lost)
-          ended(d, key, written ? Outcome::reset : Outcome::connectFailed, false);
+          if (join.order.node == to && join.written && join.process == process) lost.push_back(key);
+        for (const JoinKey key : lost) ended(d, key, Outcome::reset, false);
       });
 }
 
