--- a/src/lab/run.h
+++ b/src/lab/run.h
@@ -13,9 +13,9 @@
   std::string dayFile;
   std::uint64_t seed = 1;
   std::string plant;
-  std::string policy;  // a baseline's name; empty: the module
+  std::string policy;       // a baseline's name; empty: the module
   std::string historyFile;  // where to write what happened, for `lab history`; empty: nowhere
-  std::string keepIn;  // folder for settings, lists and logs of the directors; empty: a temporary one
+  std::string keepIn;       // folder for settings, lists and logs of the directors; empty: a temporary one
 };
 
 struct RunResult {
