--- a/src/history/play.h
+++ b/src/history/play.h
@@ -21,7 +21,7 @@
   std::size_t broken() const;
 };
 
-// `plant`: see lab/plant.h; empty in earnest. `manners`: of the apps, where they are not the usual ones.
+// `plant`: see lab/plant.h; empty in earnest.
 Played play(const History& history, const std::string& plant = "");
 
 std::string shown(const Played& played);
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -228,3 +228,24 @@
   CHECK_FALSE(reception.read(1, ask, second, fleet, why));
   CHECK(why == "room: unknown room type");
 }
+
+TEST_CASE("An unknown tenant, and a paid key that names no director, are refused at the door") {
+  RoomType paid;
+  paid.effect = Effect::once;
+  const Reception reception({"front-1", {"paid"}, {"one"}, {4 * second}}, {paid});
+  const fleet::Membership fleet(1, 0.5, second);
+  player::AskMessage ask;
+  ask.viewer = "v", ask.title = "t", ask.room = "paid", ask.tenant = "one";
+  std::string why;
+  for (const char* key : {"", "k", "front-1:"}) {
+    ask.key = key;
+    CHECK_FALSE(reception.read(1, ask, std::nullopt, fleet, why));
+  }
+  ask.key = "front-1:k";
+  CHECK(reception.read(1, ask, std::nullopt, fleet, why)->again == session::Ask::Again::no);
+  ask.key = "front-2:k";
+  CHECK(reception.read(1, ask, std::nullopt, fleet, why)->again == session::Ask::Again::elsewhere);
+  ask.tenant = "two";
+  CHECK_FALSE(reception.read(1, ask, std::nullopt, fleet, why));
+  CHECK(why == "tenant: unknown tenant");
+}
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -713,3 +713,30 @@
   };
   CHECK(rungAfter(1) == rungAfter(4));
 }
+
+TEST_CASE(
+    "Terms that cannot be are brought into bounds before anything divides by them or indexes with them") {
+  Terms stated = terms();
+  stated.directors = 0;
+  stated.ordinal = 7;
+  stated.startCapacity = 0;
+  stated.overloadFactor = 0;
+  stated.rungBenefit = {0.3};
+  stated.roomTypes[0].top = 50;
+  stated.roomTypes[0].floor = -2;
+  Control control(stated, 1);
+  std::vector<Action> actions;
+  // One node that has just started: its pace divides by nearly all of them.
+  control.handle(second, {ListTold{ListKind::total, {{1, NodeState::ready, 0, 1, 0, second, "a"}}}}, actions);
+  for (SubId sub = 1; sub <= 20; ++sub) {
+    const Micros now = second + static_cast<Micros>(sub) * 700 * ms;
+    control.handle(now, {Requested{{sub, "t", "v", 0, -1, 0, 4, 90, now + 3 * second, std::nullopt, false}}},
+                   actions);
+  }
+  std::size_t answered = 0;
+  for (const Action& action : actions) {
+    if (const auto* rung = std::get_if<SetRung>(&action)) CHECK((rung->rung >= 0 && rung->rung <= 2));
+    answered += std::holds_alternative<Join>(action) || std::holds_alternative<Throttle>(action);
+  }
+  CHECK(answered == 20);
+}
