--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -13,8 +13,10 @@
 #include "lab/import.h"
 #include "lab/plant.h"
 #include "lab/run.h"
+#include "platform/run.h"
 #include "settings/deployment.h"
 #include "store/store.h"
+#include "terms/terms.h"
 #include "ticket/ticket.h"
 
 namespace {
@@ -177,6 +179,14 @@
   ledgerList->add_option("file", file, "The ledger's file")->required();
   ledgerList->footer("Example: lupinsill ledger ls examples/small-ledger.mdb");
 
+  std::string configuration;
+  CLI::App* platform =
+      app.add_subcommand("run", "Be a director on the operators' platform, in the foreground");
+  platform->add_option("--config", configuration, "Configuration (JSON), as the platform writes it")
+      ->envname("LB_CONFIG")
+      ->required();
+  platform->footer("Example: LB_CONFIG=/run/balancer/config.json lupinsill run");
+
   CLI::App* tickets = app.add_subcommand("ticket", "Look at a ticket as a media node has to");
   tickets->require_subcommand(1);
   tickets->footer("Example: lupinsill ticket check --keys ticket.keys --node 127.0.0.1:9000 TICKET");
@@ -266,6 +276,7 @@
       }
       return director::run(start);
     }
+    if (platform->parsed()) return platform::run(configuration);
     if (check->parsed()) {
       settings::readDeployment(file);
       std::printf("%s: good\n", file.c_str());
@@ -310,6 +321,8 @@
     }
   } catch (const settings::BadSettings& bad) {
     return complain(wrong, bad.what());
+  } catch (const terms::BadInput& bad) {
+    return complain(wrong, bad.what());
   } catch (const std::exception& bad) {
     return complain(refused, bad.what());
   }
--- a/src/drill/codec.h
+++ b/src/drill/codec.h
@@ -2,27 +2,17 @@
 #pragma once
 
 #include <cstdint>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "control.h"
+#include "terms/terms.h"
 
 namespace lupinsill::drill {
 
-using Json = nlohmann::json;
-
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-// The names that an instance's settings state and its events then refer to.
-struct Names {
-  std::vector<std::string> roomTypes;
-  std::vector<std::string> parties;
-  std::vector<std::string> kinds;
-};
+using terms::BadInput;
+using terms::Json;
+using terms::Names;
 
 // One message: its name and its values in the order of the wire, with typed access that says what is wrong.
 class Message {
@@ -39,7 +29,6 @@
 };
 
 Micros clockOf(const Json& nanos);
-Terms termsOf(const Json& options, Names& names);
 ListKind listKindOf(const std::string& word);
 std::vector<ListEntry> entriesOf(const Json& rows, const Names& names);
 void checkRows(const Json& rows);
--- a/src/drill/host.cpp
+++ b/src/drill/host.cpp
@@ -51,7 +51,7 @@
   if (message.name() == "OpenInstance") {
     if (!message.value(2).is_number_integer()) throw BadInput("seed: not a whole number");
     Names names;
-    Terms terms = termsOf(message.value(3), names);
+    Terms terms = terms::termsOf(message.value(3), names);
     instances_.erase(who);
     instances_.emplace(
         who,
--- a/src/net/handles.cpp
+++ b/src/net/handles.cpp
@@ -75,4 +75,9 @@
       .count();
 }
 
+std::int64_t unixNow() {
+  static const std::int64_t ahead = wallNow() - monotonicNow();
+  return ahead + monotonicNow();
+}
+
 }  // namespace lupinsill::net
--- a/src/net/handles.h
+++ b/src/net/handles.h
@@ -49,5 +49,8 @@
 // The one clock of a process: whole microseconds, never back.
 std::int64_t monotonicNow();
 std::int64_t wallNow();
+// The Unix clock as it was at the first call, going on steadily: what processes that share nothing else agree
+// on, and never back.
+std::int64_t unixNow();
 
 }  // namespace lupinsill::net
--- /dev/null
+++ b/src/platform/link.cpp
@@ -0,0 +1,93 @@
+#include "platform/link.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace lupinsill::platform {
+namespace {
+
+constexpr std::size_t unsentMost = 256 * 1024;  // to one that reads nothing
+
+}  // namespace
+
+Link::Link(Ear& ear, net::Bev bev, bool isUp) : ear_(ear), bev_(std::move(bev)), up_(isUp) {
+  if (!bev_) return;
+  bufferevent_setcb(bev_.get(), onRead, nullptr, onEvent, this);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+}
+
+bool Link::sound() {
+  if (!isUp()) return false;
+  char byte = 0;
+  const ssize_t got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+// Straight to the socket where nothing waits before it: a message that the kernel does not take never left.
+bool Link::say(const jsonl::Message& message) {
+  if (!isUp()) return false;
+  const std::string bytes = jsonl::bytesOf(message);
+  evbuffer* output = bufferevent_get_output(bev_.get());
+  std::size_t sent = 0;
+  if (evbuffer_get_length(output) == 0) {
+    const ssize_t put =
+        send(bufferevent_getfd(bev_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (put > 0) sent = static_cast<std::size_t>(put);
+    if (put < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return false;
+  } else if (evbuffer_get_length(output) > unsentMost) {
+    return false;
+  }
+  if (sent < bytes.size()) evbuffer_add(output, bytes.data() + sent, bytes.size() - sent);
+  return true;
+}
+
+void Link::close() {
+  if (!bev_) return;
+  bufferevent_setcb(bev_.get(), nullptr, nullptr, nullptr, nullptr);
+  bev_.reset();
+}
+
+void Link::end(End how) {
+  if (!bev_) return;
+  close();
+  ear_.down(*this, how);
+}
+
+void Link::onRead(bufferevent*, void* me) {
+  Link& link = *static_cast<Link*>(me);
+  if (!link.bev_) return;
+  evbuffer* input = bufferevent_get_input(link.bev_.get());
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  link.reader_.feed(bytes);
+  try {
+    while (link.bev_) {
+      std::optional<jsonl::Message> message = link.reader_.next();
+      if (!message) return;
+      link.ear_.heard(link, *message);
+    }
+  } catch (const jsonl::BadLine&) {
+    link.end(End::unreadable);
+  }
+}
+
+void Link::onEvent(bufferevent*, short what, void* me) {
+  Link& link = *static_cast<Link*>(me);
+  if (!link.bev_) return;
+  if (what & BEV_EVENT_CONNECTED) {
+    link.up_ = true;
+    net::noDelay(bufferevent_getfd(link.bev_.get()));
+    return link.ear_.up(link);
+  }
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
+    const int error = EVUTIL_SOCKET_ERROR();
+    onRead(nullptr, me);  // what came before the break still counts
+    if (link.bev_)
+      link.end(!link.up_ ? (error == ECONNREFUSED ? End::refused : End::neverUp)
+                         : (what & BEV_EVENT_EOF ? End::closed : End::broken));
+  }
+}
+
+}  // namespace lupinsill::platform
--- /dev/null
+++ b/src/platform/link.h
@@ -0,0 +1,46 @@
+// One connection on which JSON lines are spoken, to a viewer or to a media node. What can't be read closes
+// it. After `down` it says and hears nothing more; its owner frees it later, out of its callbacks.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "control.h"
+#include "jsonl/message.h"
+#include "net/handles.h"
+
+namespace lupinsill::platform {
+
+class Link {
+ public:
+  enum class End { closed, broken, refused, neverUp, unreadable };
+  struct Ear {
+    virtual ~Ear() = default;
+    virtual void up(Link& link) = 0;
+    virtual void heard(Link& link, jsonl::Message& message) = 0;
+    virtual void down(Link& link, End how) = 0;
+  };
+  Link(Ear& ear, net::Bev bev, bool isUp);
+  Link(const Link&) = delete;
+  virtual ~Link() = default;
+
+  // False: nothing of it left, and the connection is gone.
+  bool say(const jsonl::Message& message);
+  // Whether it is up and the other side has not closed it, as far as this machine knows.
+  bool sound();
+  void close();  // without telling `down`; what was said before still leaves
+  bool isUp() const { return up_ && bev_; }
+  bool isDead() const { return !bev_; }
+
+ private:
+  static void onRead(bufferevent*, void* me);
+  static void onEvent(bufferevent*, short what, void* me);
+  void end(End how);
+
+  Ear& ear_;
+  net::Bev bev_;
+  bool up_;
+  jsonl::Reader reader_;
+};
+
+}  // namespace lupinsill::platform
--- /dev/null
+++ b/src/platform/nodes.cpp
@@ -0,0 +1,472 @@
+#include "platform/nodes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lupinsill::platform {
+
+using jsonl::Message;
+using jsonl::Op;
+namespace cause = jsonl::cause;
+
+namespace {
+
+constexpr std::size_t unsaidMost = 10'000;  // releases that wait for a connection to one node
+
+}  // namespace
+
+struct Nodes::Wire final : Link::Ear {
+  Wire(Nodes& nodes, Node& at, net::Bev bev)
+      : owner(nodes), node(at), since(net::unixNow()), link(*this, std::move(bev), false) {}
+  void up(Link&) override { owner.up(*this); }
+  void heard(Link&, Message& message) override { owner.heard(*this, message); }
+  void down(Link&, Link::End how) override { owner.down(*this, how); }
+  Nodes& owner;
+  Node& node;
+  Micros since;                // of connecting, then of the last use
+  bool spent = false;          // takes no new set-up: an answer on it stayed out
+  std::vector<Join*> waiting;  // for it to come up
+  std::vector<Join*> open;     // written, not answered
+  std::vector<Join*> standing;
+  Link link;
+};
+
+struct Nodes::Node {
+  Node(const fleet::Box& listed, Micros now) : box(listed), pulse(now) {}
+  fleet::Box box;
+  fleet::Pulse pulse;
+  bool gone = false;
+  std::vector<std::unique_ptr<Wire>> wires;  // the newest last
+  std::map<std::string, Join*> joins;        // by their calls' ids
+  std::vector<Message> unsaid;               // for the next connection that comes up
+};
+
+struct Nodes::Join {
+  session::SetUp order;
+  Call call;
+  Node* node = nullptr;
+  Wire* wire = nullptr;
+  bool written = false;
+  bool began = false;
+  Micros beganAt = 0;
+};
+
+Nodes::Nodes(event_base* base, Ear& ear, Bounds bounds) : base_(base), ear_(ear), bounds_(bounds) {}
+Nodes::~Nodes() = default;
+
+Nodes::Join* Nodes::find(session::JoinKey key) {
+  const auto it = joins_.find(key);
+  return it == joins_.end() ? nullptr : it->second.get();
+}
+
+Nodes::Node& Nodes::nodeOf(const fleet::Box& box) {
+  auto& slot = nodes_[box.node];
+  if (!slot) slot = std::make_unique<Node>(box, net::unixNow());
+  slot->box = box;
+  return *slot;
+}
+
+// ---- connections ----
+
+// Closes the connection used longest ago that carries nothing; of a node with subscriptions one stays, on
+// which it can tell their ends.
+bool Nodes::makeRoom(const Node& wanting) {
+  Wire* oldest = nullptr;
+  for (auto& [id, node] : nodes_) {
+    if (node.get() == &wanting) continue;
+    const std::size_t keep = node->joins.empty() ? 0 : 1;
+    if (node->wires.size() <= keep) continue;
+    for (const auto& wire : node->wires)
+      if (wire->waiting.empty() && wire->open.empty() && (oldest == nullptr || wire->since < oldest->since))
+        oldest = wire.get();
+  }
+  if (oldest == nullptr) return false;
+  retire(*oldest);
+  return true;
+}
+
+Nodes::Wire* Nodes::open(Node& node) {
+  if (wires_ >= bounds_.connections && !makeRoom(node)) return nullptr;
+  ++figures_.connects;
+  net::Bev bev = net::connectTo(base_, node.box.host, node.box.port);
+  if (!bev) return nullptr;
+  ++wires_;
+  node.wires.push_back(std::make_unique<Wire>(*this, node, std::move(bev)));
+  return node.wires.back().get();
+}
+
+// An idle connection, the one used last; else a new one; else, out of descriptors, the one with the least.
+Nodes::Wire* Nodes::pick(Node& node) {
+  Wire* idle = nullptr;
+  Wire* least = nullptr;
+  const auto load = [](const Wire& w) { return w.open.size() + w.waiting.size(); };
+  for (const auto& wire : node.wires) {
+    if (wire->spent || wire->link.isDead()) continue;
+    if (wire->link.isUp() && load(*wire) == 0 && (idle == nullptr || wire->since > idle->since))
+      idle = wire.get();
+    if (least == nullptr || load(*wire) < load(*least)) least = wire.get();
+  }
+  if (idle != nullptr) return idle;
+  if (Wire* fresh = open(node)) return fresh;
+  return least;
+}
+
+void Nodes::up(Wire& wire) {
+  wire.since = net::unixNow();
+  wire.node.pulse.heard(net::unixNow());
+  for (const Message& message : std::exchange(wire.node.unsaid, {})) wire.link.say(message);
+  for (Join* join : std::exchange(wire.waiting, {})) write(*join, wire);
+}
+
+// Takes it out of its node, at once; it is freed once nothing runs in it.
+void Nodes::retire(Wire& wire) {
+  wire.link.close();
+  for (Join* join : std::exchange(wire.standing, {})) join->wire = nullptr;
+  auto& wires = wire.node.wires;
+  const auto it =
+      std::find_if(wires.begin(), wires.end(), [&](const auto& one) { return one.get() == &wire; });
+  if (it == wires.end()) return;
+  dead_.push_back(std::move(*it));
+  wires.erase(it);
+  --wires_;
+}
+
+void Nodes::down(Wire& wire, Link::End how) {
+  if (how == Link::End::unreadable) ++figures_.unreadable;
+  if (how == Link::End::refused || how == Link::End::neverUp) return failed(wire, how == Link::End::refused);
+  ++figures_.lost;
+  Node& node = wire.node;
+  const auto waiting = std::exchange(wire.waiting, {});
+  const auto open = std::exchange(wire.open, {});
+  retire(wire);
+  for (Join* join : open) {
+    const session::JoinKey key = join->order.join;
+    // It may have run: if so it stands there with nobody behind it.
+    const std::string call = join->call.id;
+    finish(*join);
+    release(node, call);
+    ear_.ended(key, Outcome::reset, {}, false);
+  }
+  for (Join* join : waiting) place(*join);
+}
+
+// A connection that never came up: nothing of what waited for it has left.
+void Nodes::failed(Wire& wire, bool refused) {
+  ++figures_.failed;
+  Node& node = wire.node;
+  const auto waiting = std::exchange(wire.waiting, {});
+  retire(wire);
+  node.pulse.failed(refused);
+  for (Join* join : waiting) {
+    const session::JoinKey key = join->order.join;
+    finish(*join);
+    ear_.ended(key, Outcome::connectFailed, {}, false);
+  }
+}
+
+// On the connection given, else on any, else on the next that comes up; one is opened.
+void Nodes::say(Node& node, const Message& message, Wire* first) {
+  if (first != nullptr && first->link.say(message)) return;
+  for (auto it = node.wires.rbegin(); it != node.wires.rend(); ++it)
+    if ((*it)->link.isUp() && (*it)->link.say(message)) return;
+  if (node.unsaid.size() < unsaidMost) node.unsaid.push_back(message);
+  if (std::none_of(node.wires.begin(), node.wires.end(),
+                   [](const auto& wire) { return !wire->link.isUp() && !wire->link.isDead(); }))
+    open(node);
+}
+
+void Nodes::release(Node& node, const std::string& call) {
+  ++figures_.orphans;
+  Message message;
+  message.op = Op::end;
+  message.call = call;
+  message.why = cause::over;
+  say(node, message);
+}
+
+// ---- orders ----
+
+void Nodes::setUp(const session::SetUp& order, const fleet::Box& box, const Call& call) {
+  Node& node = nodeOf(box);
+  auto made = std::make_unique<Join>();
+  Join& join = *made;
+  join.order = order;
+  join.call = call;
+  join.node = &node;
+  joins_[order.join] = std::move(made);
+  place(join);
+}
+
+void Nodes::place(Join& join) {
+  Node& node = *join.node;
+  // A kept connection found dead before a byte was written costs nothing but the look for another.
+  while (true) {
+    Wire* wire = pick(node);
+    if (wire == nullptr) {
+      const session::JoinKey key = join.order.join;
+      finish(join);
+      return ear_.ended(key, Outcome::connectFailed, {}, false);
+    }
+    if (!wire->link.isUp()) {
+      wire->waiting.push_back(&join);
+      join.wire = wire;
+      return;
+    }
+    if (wire->link.sound()) return write(join, *wire);
+    ++figures_.retaken;
+    // Out of use at once; what else is on it hears of it from the loop.
+    wire->spent = true;
+    if (wire->open.empty()) retire(*wire);
+  }
+}
+
+void Nodes::write(Join& join, Wire& wire) {
+  const session::JoinKey key = join.order.join;
+  Node& node = *join.node;
+  if (!ear_.leaves(key)) {
+    finish(join);
+    return ear_.ended(key, Outcome::moot, {}, false);
+  }
+  // An earlier join of this call here may still have its end unsaid: that must not meet the new one.
+  std::erase_if(node.unsaid, [&](const Message& message) { return message.call == join.call.id; });
+  Message message;
+  message.op = Op::offer;
+  message.call = join.call.id;
+  message.with["class"] = join.call.room;
+  message.with["key"] = join.call.title;
+  message.with["left"] = std::to_string(std::max<Micros>(1, (join.order.until - net::unixNow()) / 1000));
+  message.with["rung"] = std::to_string(join.order.rung);
+  message.desc = join.call.desc;
+  if (!wire.link.say(message)) {
+    finish(join);
+    retire(wire);
+    return ear_.ended(key, Outcome::connectFailed, {}, false);
+  }
+  join.written = true;
+  join.wire = &wire;
+  wire.since = net::unixNow();
+  wire.open.push_back(&join);
+  node.joins[join.call.id] = &join;
+}
+
+void Nodes::adopt(session::JoinKey key, const fleet::Box& box, const Call& call) {
+  Node& node = nodeOf(box);
+  auto made = std::make_unique<Join>();
+  Join& join = *made;
+  join.order.join = key;
+  join.call = call;
+  join.node = &node;
+  join.written = join.began = true;
+  node.joins[call.id] = &join;
+  joins_[key] = std::move(made);
+}
+
+void Nodes::change(const session::ChangeRung& order) {
+  Join* join = find(order.join);
+  if (join == nullptr) return;
+  join->order.rung = order.rung;
+  if (!join->written) return;
+  Message message;
+  message.op = Op::set;
+  message.call = join->call.id;
+  message.with["rung"] = std::to_string(order.rung);
+  say(*join->node, message, join->wire);
+}
+
+void Nodes::tearDown(session::JoinKey key) {
+  Join* join = find(key);
+  if (join == nullptr) return;
+  Node& node = *join->node;
+  Wire* wire = join->wire;
+  const bool written = join->written, began = join->began;
+  const std::string call = join->call.id;
+  finish(*join);
+  if (!written) return;
+  Message message;
+  message.op = Op::end;
+  message.call = call;
+  message.why = cause::over;
+  say(node, message, wire);
+  // Its answer stayed out: if that was spoilt, nothing that follows on this connection can be read.
+  if (!began && wire != nullptr) {
+    wire->spent = true;
+    if (wire->open.empty()) retire(*wire);
+  }
+}
+
+void Nodes::withdraw(session::JoinKey key) {
+  Join* join = find(key);
+  if (join == nullptr || join->written) return;
+  finish(*join);
+  ear_.ended(key, Outcome::moot, {}, false);
+}
+
+void Nodes::finish(Join& join) {
+  if (join.wire != nullptr) {
+    std::erase(join.wire->waiting, &join);
+    std::erase(join.wire->open, &join);
+    std::erase(join.wire->standing, &join);
+  }
+  auto& known = join.node->joins;
+  if (const auto it = known.find(join.call.id); it != known.end() && it->second == &join) known.erase(it);
+  joins_.erase(join.order.join);
+}
+
+// ---- what comes back ----
+
+LoadReport reportOf(const std::string& text) {
+  LoadReport report;
+  try {
+    for (const auto& [key, value] : jsonl::pairsOf(text)) {
+      const auto real = jsonl::realOf(value, 0, 1e6);
+      if (!real) continue;
+      if (key == "cpu") report.linkShare = *real;
+      if (key == "x0") report.linkUse = *real;
+      if (key == "x1") report.uplinkUse = *real;
+    }
+  } catch (const jsonl::BadLine&) {
+    return {};
+  }
+  return report;
+}
+
+void Nodes::heard(Wire& wire, Message& message) {
+  Node& node = wire.node;
+  node.pulse.heard(net::unixNow());
+  wire.since = net::unixNow();
+  const auto it = node.joins.find(message.call);
+  // Extra copies, and what belongs to nobody, are passed over.
+  if (it == node.joins.end()) {
+    ++figures_.passedOver;
+    return;
+  }
+  Join& join = *it->second;
+  const session::JoinKey key = join.order.join;
+  if (message.op == Op::accept) {
+    if (join.began || join.wire != &wire) return void(++figures_.passedOver);
+    if (!message.desc || message.desc->empty()) return wire.link.close(), down(wire, Link::End::unreadable);
+    join.began = true;
+    join.beganAt = net::unixNow();
+    std::erase(wire.open, &join);
+    wire.standing.push_back(&join);
+    ear_.began(key, *message.desc);
+    if (wire.spent && wire.open.empty()) retire(wire);
+    return;
+  }
+  if (message.op == Op::end) {
+    if (!join.began && join.wire != &wire) return void(++figures_.passedOver);
+    const std::string* load = message.find("load");
+    const LoadReport report = load == nullptr ? LoadReport{} : reportOf(*load);
+    const bool began = join.began;
+    finish(join);
+    if (began) {
+      Message reply;
+      reply.op = Op::ended;
+      reply.call = message.call;
+      wire.link.say(reply);
+      const bool finished = message.why == cause::over;
+      ear_.ended(key,
+                 finished                          ? Outcome::ok
+                 : message.why == cause::cancelled ? Outcome::cancelled
+                                                   : Outcome::reset,
+                 report, finished);
+    } else {
+      const int why = message.why;
+      ear_.ended(key,
+                 why == cause::full    ? Outcome::full
+                 : why == cause::error ? Outcome::error
+                 : why == cause::moot  ? Outcome::moot
+                                       : Outcome::reset,
+                 report, false);
+      if (wire.spent && wire.open.empty()) retire(wire);
+    }
+    return;
+  }
+  if (message.op == Op::info && join.began) {
+    const std::string* value = message.find("value");
+    const std::string* note = message.find("note");
+    if (value == nullptr || note == nullptr) return;
+    const auto real = jsonl::realOf(*value, 0, 1e6);
+    if (!real) return;
+    if (*note == "fill") ear_.noted(key, Reading::delivered, *real);
+    if (*note == "grade") ear_.noted(key, Reading::rung, *real);
+    if (*note == "local") ear_.noted(key, Reading::link, *real);
+    if (*note == "upstream") ear_.noted(key, Reading::uplink, *real);
+  }
+}
+
+// ---- nodes that go ----
+
+// Ends what began there before a moment, towards the viewers.
+void Nodes::endStanding(Node& node, Micros before) {
+  std::vector<Join*> over;
+  for (const auto& [call, join] : node.joins)
+    if (join->began && join->beganAt < before) over.push_back(join);
+  for (Join* join : over) {
+    const session::JoinKey key = join->order.join;
+    finish(*join);
+    ear_.ended(key, Outcome::reset, {}, false);
+  }
+}
+
+void Nodes::listed(const fleet::Membership& membership) {
+  std::map<std::pair<std::string, int>, NodeId> places;
+  for (const auto& [id, box] : membership.boxes()) places[{box.host, box.port}] = id;
+  for (auto& [id, node] : nodes_) {
+    const fleet::Box* box = membership.find(id);
+    node->gone = box == nullptr;
+    const auto place = places.find({node->box.host, node->box.port});
+    // Another has its place: whatever stood there is over, and nothing of it can be told any more.
+    if (box == nullptr && place != places.end()) {
+      endStanding(*node, net::unixNow() + 1);
+      node->unsaid.clear();
+    }
+    if (box == nullptr) continue;
+    if (box->readyAt > node->box.readyAt) endStanding(*node, box->readyAt);
+    node->box = *box;
+  }
+}
+
+void Nodes::tick(Micros now) {
+  dead_.clear();
+  std::vector<Wire*> late;
+  for (auto& [id, node] : nodes_)
+    for (const auto& wire : node->wires)
+      if (!wire->link.isUp() && now - wire->since > bounds_.connect) late.push_back(wire.get());
+  for (Wire* wire : late) failed(*wire, false);
+  for (auto& [id, node] : nodes_) {
+    if (node->joins.empty() && node->unsaid.empty()) continue;
+    bool linked = false, trying = false;
+    for (const auto& wire : node->wires) (wire->link.isUp() ? linked : trying) = true;
+    switch (node->pulse.look(now, linked, trying)) {
+      case fleet::Pulse::Verdict::fine:
+        break;
+      case fleet::Pulse::Verdict::tryIt:
+        open(*node);
+        break;
+      case fleet::Pulse::Verdict::over:
+        ++figures_.vanished;
+        endStanding(*node, now + 1);
+        node->unsaid.clear();
+        break;
+    }
+  }
+  std::vector<Wire*> idle;
+  for (auto& [id, node] : nodes_)
+    if (node->gone && node->joins.empty())
+      for (const auto& wire : node->wires) idle.push_back(wire.get());
+  for (Wire* wire : idle) retire(*wire);
+  std::erase_if(nodes_, [](const auto& entry) {
+    return entry.second->gone && entry.second->joins.empty() && entry.second->wires.empty();
+  });
+}
+
+Nodes::Figures Nodes::figures() const {
+  Figures figures = figures_;
+  figures.connections = wires_;
+  figures.joins = joins_.size();
+  figures.nodes = nodes_.size();
+  return figures;
+}
+
+}  // namespace lupinsill::platform
--- /dev/null
+++ b/src/platform/nodes.h
@@ -0,0 +1,91 @@
+// The media nodes' side of the platform's protocol: carries out the front's orders on connections to nodes
+// and tells it how joins end. It decides nothing on placing.
+//
+// One spoilt line loses a connection with every set-up on it, so each open set-up has one of its own while
+// the descriptors last; what stands shares. A join counts as written once its bytes are handed to the
+// machine. What stands at a node with nobody behind it is released there.
+// docs/design/platform.md has the reasons. Owned by the director; not to be moved.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/membership.h"
+#include "fleet/pulse.h"
+#include "net/handles.h"
+#include "platform/link.h"
+#include "platform/viewers.h"
+#include "session/front.h"
+
+namespace lupinsill::platform {
+
+class Nodes {
+ public:
+  struct Ear {
+    virtual ~Ear() = default;
+    // Asked as a join is about to be written; false: it is not, and has ended as moot.
+    virtual bool leaves(session::JoinKey join) = 0;
+    virtual void began(session::JoinKey join, const std::string& desc) = 0;
+    virtual void ended(session::JoinKey join, Outcome outcome, const LoadReport& report, bool finished) = 0;
+    virtual void noted(session::JoinKey join, Reading reading, double value) = 0;
+  };
+  struct Bounds {
+    std::size_t connections = 0;
+    Micros connect = 0;
+  };
+  struct Figures {
+    std::uint64_t connects = 0, failed = 0, lost = 0, unreadable = 0, passedOver = 0, orphans = 0,
+                  vanished = 0, retaken = 0;
+    std::size_t connections = 0, joins = 0, nodes = 0;
+  };
+
+  Nodes(event_base* base, Ear& ear, Bounds bounds);
+  ~Nodes();
+
+  void setUp(const session::SetUp& order, const fleet::Box& box, const Call& call);
+  void adopt(session::JoinKey join, const fleet::Box& box, const Call& call);
+  void change(const session::ChangeRung& order);
+  void tearDown(session::JoinKey join);
+  void withdraw(session::JoinKey join);
+  // After each change of the list: nodes that went, started anew, or whose place another has taken.
+  void listed(const fleet::Membership& membership);
+  void tick(Micros now);
+  Figures figures() const;
+
+ private:
+  struct Node;
+  struct Wire;
+  struct Join;
+  Node& nodeOf(const fleet::Box& box);
+  Wire* open(Node& node);
+  Wire* pick(Node& node);
+  bool makeRoom(const Node& wanting);
+  void place(Join& join);
+  void write(Join& join, Wire& wire);
+  void say(Node& node, const jsonl::Message& message, Wire* first = nullptr);
+  void up(Wire& wire);
+  void heard(Wire& wire, jsonl::Message& message);
+  void down(Wire& wire, Link::End how);
+  void failed(Wire& wire, bool refused);
+  void retire(Wire& wire);
+  void release(Node& node, const std::string& call);
+  void finish(Join& join);
+  void endStanding(Node& node, Micros before);
+  Join* find(session::JoinKey key);
+
+  event_base* base_;
+  Ear& ear_;
+  Bounds bounds_;
+  std::map<NodeId, std::unique_ptr<Node>> nodes_;
+  std::map<session::JoinKey, std::unique_ptr<Join>> joins_;
+  std::size_t wires_ = 0;
+  std::vector<std::unique_ptr<Wire>> dead_;
+  Figures figures_;
+};
+
+LoadReport reportOf(const std::string& text);
+
+}  // namespace lupinsill::platform
--- /dev/null
+++ b/src/platform/run.cpp
@@ -0,0 +1,364 @@
+#include "platform/run.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <map>
+
+#include "director/log.h"
+#include "fleet/inquiry.h"
+#include "fleet/membership.h"
+#include "net/handles.h"
+#include "platform/configuration.h"
+#include "platform/nodes.h"
+#include "platform/viewers.h"
+#include "roster/dns.h"
+#include "session/front.h"
+
+namespace lupinsill::platform {
+namespace {
+
+using director::Level;
+using director::log;
+
+constexpr const char* service = "_api._tcp.svc.local";
+constexpr Micros housekeeping = 25'000;
+constexpr Micros stoodStill = 100'000;  // between two passes of the loop
+constexpr int catchUpPasses = 16;
+constexpr Micros lingers = 1'200'000;  // new set-ups still come so long after SIGTERM, and are answered
+constexpr Micros figuresEvery = 5'000'000;
+constexpr std::size_t spareSockets = 24;  // of the loop, the name server, the log, and what is being closed
+
+class Director final : public Viewers::Ear, public Nodes::Ear {
+ public:
+  explicit Director(const std::string& file);
+  int loop();
+
+ private:
+  void asked(Call& call, session::Ask ask) override;
+  void adopted(Call& call, session::Ask ask, const std::string& node) override;
+  void left(const Call& call) override { front_.leave(call.line), joinOf_.erase(call.line); }
+  bool ready() override { return !stopping_ && !membership_.boxes().empty(); }
+  bool leaves(session::JoinKey join) override { return front_.leaves(net::unixNow(), join); }
+  void began(session::JoinKey join, const std::string& desc) override;
+  void ended(session::JoinKey join, Outcome outcome, const LoadReport& report, bool finished) override {
+    descs_.erase(join);
+    front_.ended(join, outcome, report, finished);
+  }
+  void noted(session::JoinKey join, Reading reading, double value) override {
+    front_.noted(join, reading, value);
+  }
+
+  void carry(const session::Order& order);
+  void turn();
+  fleet::Word wordOf(std::uint64_t version, const std::vector<roster::Row>& rows);
+  void resolve();
+  void askForList(Micros now);
+  void heardList();
+  void reload();
+  void showFigures(Level level);
+  static void onSignal(evutil_socket_t signal, short, void* me);
+  static void onWake(evutil_socket_t, short, void*) {}
+  static void onList(evutil_socket_t, short, void* me) { static_cast<Director*>(me)->heardList(); }
+
+  std::string file_;
+  Configuration told_;
+  net::Base base_;
+  fleet::Membership membership_;
+  fleet::Inquiry inquiry_;
+  session::Front front_;
+  Nodes nodes_;
+  std::unique_ptr<Viewers> viewers_;
+  net::Event wake_, listEvent_;
+  std::vector<net::Event> signals_;
+  struct Descriptor {
+    int fd = -1;
+    ~Descriptor() { reset(-1); }
+    void reset(int next) {
+      if (fd >= 0) close(fd);
+      fd = next;
+    }
+  } list_;
+  // Numbers for the names of media nodes; a name that has gone and comes back is another node.
+  std::map<std::string, NodeId> numbers_;
+  NodeId lastNumber_ = 0;
+  std::map<session::JoinKey, std::string> descs_;  // of joins that began, until their viewers are told
+  std::map<session::Line, session::JoinKey> joinOf_;
+  std::vector<session::Order> orders_;
+  Micros housedAt_ = 0;
+  Micros shownAt_ = 0;
+  Micros stopAt_ = 0;
+  bool stopping_ = false;
+};
+
+session::Bounds boundsOf(const Configuration& told) {
+  session::Bounds bounds;
+  bounds.grace = told.grace;
+  bounds.answerMargin = 10'000;  // the way of an answer to its viewer
+  bounds.standstill = 300'000;
+  bounds.openMost = 4'000;
+  bounds.keysMost = 1'000;  // no set-up here has a key of its own: none is ever remembered
+  bounds.playsMost = 50'000;
+  bounds.leastLeft = 0;
+  return bounds;
+}
+
+// Viewers hold at most a third of the descriptors, others may try to hold more; the rest is for nodes.
+std::size_t forViewers(std::size_t sockets) { return (sockets - spareSockets) * 9 / 20; }
+
+Director::Director(const std::string& file)
+    : file_(file),
+      told_(readConfiguration(file)),
+      base_(event_base_new()),
+      membership_(told_.terms.cells, 0, told_.grace),
+      inquiry_(told_.seed),
+      front_(told_.terms, boundsOf(told_), std::make_unique<session::ByControl>(told_.terms, told_.seed)),
+      nodes_(base_.get(), *this,
+             {told_.sockets - spareSockets - forViewers(told_.sockets), told_.connectTime}) {
+  director::setUpLog("info", "text", told_.name);
+  front_.told(membership_.startFrom(wordOf(told_.listNumber, told_.known)));
+  resolve();
+  viewers_ = std::make_unique<Viewers>(base_.get(), *this, told_.listen.host, told_.listen.port, told_.names,
+                                       told_.terms, Viewers::Bounds{forViewers(told_.sockets)});
+  wake_.reset(event_new(base_.get(), -1, 0, onWake, nullptr));
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    signals_.emplace_back(evsignal_new(base_.get(), signal, onSignal, this));
+    event_add(signals_.back().get(), nullptr);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  log(Level::info, "listening",
+      {{"port", std::to_string(viewers_->port())}, {"nodes", std::to_string(membership_.boxes().size())}});
+}
+
+// ---- the list ----
+
+fleet::Word Director::wordOf(std::uint64_t version, const std::vector<roster::Row>& rows) {
+  fleet::Word word;
+  word.version = version;
+  std::map<std::string, NodeId> numbers;
+  for (const roster::Row& row : rows) {
+    const auto known = numbers_.find(row.name);
+    const NodeId number = known == numbers_.end() ? ++lastNumber_ : known->second;
+    numbers[row.name] = number;
+    fleet::Box box;
+    box.node = number;
+    box.host = row.host;
+    box.port = row.port;
+    box.state = row.draining ? NodeState::draining : NodeState::ready;
+    box.kind = std::max(0, terms::placeOf(told_.names.kinds, row.kind));
+    box.cell = row.cell;
+    box.weight = row.weight;
+    box.zone = row.zone;
+    box.readyAt = row.startedMs * 1000;
+    word.boxes.push_back(std::move(box));
+  }
+  numbers_ = std::move(numbers);
+  return word;
+}
+
+void Director::resolve() {
+  listEvent_.reset();
+  list_.reset(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(told_.resolver.port));
+  // Connected, so that only that address is heard.
+  if (inet_pton(AF_INET, told_.resolver.host.c_str(), &address.sin_addr) != 1 ||
+      connect(list_.fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+    log(Level::error, "resolver-unusable", {{"address", told_.resolver.host}});
+    return;
+  }
+  listEvent_.reset(event_new(base_.get(), list_.fd, EV_READ | EV_PERSIST, onList, this));
+  event_add(listEvent_.get(), nullptr);
+}
+
+void Director::askForList(Micros now) {
+  if (now < inquiry_.due()) return;
+  const std::string question = roster::question(inquiry_.ask(now), service);
+  // One that does not leave is asked again like one that is lost.
+  if (send(list_.fd, question.data(), question.size(), MSG_DONTWAIT) < 0) return;
+}
+
+void Director::heardList() {
+  std::array<char, 16 * 1024> bytes;
+  while (true) {
+    const ssize_t size = recv(list_.fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (size < 0) return;
+    const auto answer = roster::read({bytes.data(), static_cast<std::size_t>(size)}, service);
+    if (!answer || !inquiry_.expects(answer->number)) continue;
+    const Micros now = net::unixNow();
+    if (!inquiry_.believes(now, answer->serial)) continue;
+    if (answer->serial < membership_.version()) continue;
+    ListTold told;
+    const fleet::Taken taken = membership_.apply(now, wordOf(answer->serial, answer->rows), told);
+    if (taken != fleet::Taken::applied && taken != fleet::Taken::tooMuchGone) continue;
+    log(Level::debug, "list",
+        {{"version", std::to_string(answer->serial)}, {"changes", std::to_string(told.entries.size())}});
+    nodes_.listed(membership_);
+    if (!told.entries.empty() || told.kind == ListKind::total) front_.told(std::move(told));
+  }
+}
+
+// ---- set-ups and answers ----
+
+void Director::asked(Call&, session::Ask ask) { front_.ask(std::move(ask)); }
+
+void Director::adopted(Call& call, session::Ask ask, const std::string& node) {
+  const auto number = numbers_.find(node);
+  const fleet::Box* box = number == numbers_.end() ? nullptr : membership_.find(number->second);
+  if (box == nullptr) return viewers_->ended(call.line, false);  // it went with its node
+  const session::JoinKey join = front_.adopt(std::move(ask), box->node);
+  nodes_.adopt(join, *box, call);
+}
+
+void Director::began(session::JoinKey join, const std::string& desc) {
+  descs_[join] = desc;
+  front_.began(join);
+}
+
+void Director::carry(const session::Order& order) {
+  if (const auto* playing = std::get_if<session::Playing>(&order)) {
+    const auto join = joinOf_.find(playing->line);
+    if (join != joinOf_.end()) viewers_->playing(playing->line, descs_[join->second]);
+    if (join != joinOf_.end()) descs_.erase(join->second);
+  } else if (const auto* throttled = std::get_if<session::Throttled>(&order)) {
+    viewers_->throttled(throttled->line, throttled->retryAfter);
+    joinOf_.erase(throttled->line);
+  } else if (const auto* terminated = std::get_if<session::Terminated>(&order)) {
+    viewers_->terminated(terminated->line);
+    joinOf_.erase(terminated->line);
+  } else if (const auto* end = std::get_if<session::Ended>(&order)) {
+    viewers_->ended(end->line, end->why == session::WhyEnded::finished);
+    joinOf_.erase(end->line);
+  } else if (const auto* setUp = std::get_if<session::SetUp>(&order)) {
+    const fleet::Box* box = membership_.find(setUp->node);
+    const Call* call = viewers_->find(setUp->line);
+    if (call == nullptr) return front_.ended(setUp->join, Outcome::moot, {}, false);
+    if (box == nullptr) return front_.ended(setUp->join, Outcome::connectFailed, {}, false);
+    joinOf_[setUp->line] = setUp->join;
+    nodes_.setUp(*setUp, *box, *call);
+  } else if (const auto* change = std::get_if<session::ChangeRung>(&order)) {
+    nodes_.change(*change);
+  } else if (const auto* down = std::get_if<session::TearDown>(&order)) {
+    descs_.erase(down->join);
+    nodes_.tearDown(down->join);
+  } else if (const auto* withdraw = std::get_if<session::Withdraw>(&order)) {
+    nodes_.withdraw(withdraw->join);
+  } else if (std::holds_alternative<session::FollowTheList>(order)) {
+    inquiry_.moved(net::unixNow());
+  }
+}
+
+void Director::turn() {
+  const Micros now = net::unixNow();
+  if (now < front_.due()) return;
+  orders_.clear();
+  front_.turn(now, orders_);
+  for (const session::Order& order : orders_) carry(order);
+}
+
+// ---- the process ----
+
+void Director::onSignal(evutil_socket_t signal, short, void* me) {
+  auto& director = *static_cast<Director*>(me);
+  if (signal == SIGHUP) return director.reload();
+  if (director.stopping_) return;
+  director.stopping_ = true;
+  director.stopAt_ = net::unixNow() + lingers;
+  log(Level::info, "stopping");
+}
+
+void Director::reload() {
+  try {
+    Configuration next = readConfiguration(file_);
+    told_.resolver = next.resolver;
+    resolve();
+    inquiry_.moved(net::unixNow());
+    log(Level::info, "reloaded",
+        {{"resolver", next.resolver.host + ":" + std::to_string(next.resolver.port)}});
+  } catch (const terms::BadInput& bad) {
+    log(Level::error, "reload-refused", {{"why", bad.what()}});
+  }
+}
+
+void Director::showFigures(Level level) {
+  const session::Figures f = front_.figures();
+  const Viewers::Figures v = viewers_->figures();
+  const Nodes::Figures n = nodes_.figures();
+  std::string held;
+  for (std::size_t i = 0; i < session::ruleCount; ++i)
+    if (f.held[i] != 0)
+      held += std::string(held.empty() ? "" : ",") + nameOf(static_cast<session::Rule>(i)) + ":" +
+              std::to_string(f.held[i]);
+  const auto text = [](std::uint64_t value) { return std::to_string(value); };
+  log(level, "figures",
+      {{"asks", text(f.asks)},
+       {"playing", text(f.playing)},
+       {"throttled", text(f.throttled)},
+       {"terminated", text(f.terminated)},
+       {"joins", text(f.joins)},
+       {"lost", text(f.nodeLost)},
+       {"open", text(f.open)},
+       {"plays", text(f.plays)},
+       {"held", held},
+       {"late", text(f.standstills)},
+       {"peers", text(v.connections)},
+       {"calls", text(v.calls)},
+       {"useless", text(v.useless)},
+       {"unreadable", text(v.unreadable)},
+       {"turned-away", text(v.turnedAway)},
+       {"floods", text(v.floods)},
+       {"wires", text(n.connections)},
+       {"connects", text(n.connects)},
+       {"failed", text(n.failed)},
+       {"broken", text(n.lost)},
+       {"spoilt", text(n.unreadable)},
+       {"passed-over", text(n.passedOver)},
+       {"orphans", text(n.orphans)},
+       {"vanished", text(n.vanished)},
+       {"node-joins", text(n.joins)},
+       {"version", text(membership_.version())}});
+}
+
+int Director::loop() {
+  Micros last = net::unixNow();
+  while (true) {
+    const Micros due = std::min({front_.due(), housedAt_ + housekeeping, inquiry_.due()});
+    const Micros wait = std::max<Micros>(0, due - net::unixNow());
+    const timeval span{static_cast<time_t>(wait / 1'000'000), static_cast<suseconds_t>(wait % 1'000'000)};
+    event_add(wake_.get(), &span);
+    event_base_loop(base_.get(), EVLOOP_ONCE);
+    // Guards against deciding on a part of what came while the process stood still: answers that lie in the
+    // sockets must be read before time-outs are drawn from their absence.
+    if (net::unixNow() - last > stoodStill)
+      for (int pass = 0; pass < catchUpPasses; ++pass) event_base_loop(base_.get(), EVLOOP_NONBLOCK);
+    last = net::unixNow();
+    turn();
+    askForList(last);
+    if (last - housedAt_ >= housekeeping) {
+      housedAt_ = last;
+      nodes_.tick(last);
+      viewers_->tick(last);
+    }
+    if (last - shownAt_ >= figuresEvery) shownAt_ = last, showFigures(Level::info);
+    if (stopping_ && last >= stopAt_ &&
+        (front_.figures().open == 0 || last >= stopAt_ + told_.longestTimeout))
+      break;
+  }
+  showFigures(Level::info);
+  log(Level::info, "stopped");
+  return 0;
+}
+
+}  // namespace
+
+int run(const std::string& configurationFile) { return Director(configurationFile).loop(); }
+
+}  // namespace lupinsill::platform
--- /dev/null
+++ b/src/platform/viewers.cpp
@@ -0,0 +1,317 @@
+#include "platform/viewers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lupinsill::platform {
+
+using jsonl::Message;
+using jsonl::Op;
+namespace cause = jsonl::cause;
+
+struct Viewers::Peer final : Link::Ear {
+  Peer(Viewers& viewers, std::uint64_t number, net::Bev bev)
+      : owner(viewers), id(number), since(net::unixNow()), link(*this, std::move(bev), true) {}
+  void up(Link&) override {}
+  void heard(Link&, Message& message) override { owner.heard(*this, message); }
+  void down(Link&, Link::End how) override {
+    if (how == Link::End::unreadable) ++owner.figures_.unreadable;
+    owner.down(*this);
+  }
+  Viewers& owner;
+  std::uint64_t id;
+  Micros since;                                   // of accepting, then of the last use
+  bool proven = false;                            // has brought something of use
+  std::map<session::Line, Held*> open, standing;  // in the order they came
+  Link link;
+};
+
+struct Viewers::Held {
+  Call call;
+  Peer* peer = nullptr;  // of its set-up, while that is there
+};
+
+Viewers::Viewers(event_base* base, Ear& ear, const std::string& host, int port, const terms::Names& names,
+                 const Terms& terms, Bounds bounds)
+    : base_(base), ear_(ear), names_(names), terms_(terms), bounds_(bounds) {
+  listener_ = net::listenOn(base, host, port, onAccept, this);
+}
+Viewers::~Viewers() = default;
+
+int Viewers::port() const { return net::portOf(listener_.get()); }
+
+// ---- connections ----
+
+void Viewers::onAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* me) {
+  static_cast<Viewers*>(me)->accepted(fd);
+}
+
+// Guards against connections by the hundred that say nothing: when short, those go first that carry nothing,
+// the unproven before the rest, the oldest first. Media nodes' sockets are never at stake.
+void Viewers::accepted(evutil_socket_t fd) {
+  ++figures_.accepted;
+  if (peers_.size() >= bounds_.connections) {
+    Peer* out = nullptr;
+    for (auto& [id, peer] : peers_) {
+      if (!peer->open.empty() || !peer->standing.empty()) continue;
+      if (out == nullptr || (out->proven && !peer->proven)) out = peer.get();
+    }
+    ++figures_.turnedAway;
+    if (out == nullptr) {
+      evutil_closesocket(fd);
+      return;
+    }
+    drop(*out);
+  }
+  net::noDelay(static_cast<int>(fd));
+  net::Bev bev = net::acceptPlain(base_, fd);
+  if (!bev) return;
+  const std::uint64_t id = ++lastPeer_;
+  Peer& peer = *peers_.emplace(id, std::make_unique<Peer>(*this, id, std::move(bev))).first->second;
+  for (const Message& message : std::exchange(unsaid_, {})) peer.link.say(message);
+}
+
+// What is open on a connection that its viewer closed has been given up; what stands goes on without it.
+void Viewers::down(Peer& peer) {
+  for (const auto& [line, held] : std::exchange(peer.open, {})) {
+    ear_.left(held->call);
+    held->peer = nullptr;
+    forget(*held);
+  }
+  for (const auto& [line, held] : std::exchange(peer.standing, {})) held->peer = nullptr;
+  const auto it = peers_.find(peer.id);
+  if (it == peers_.end()) return;
+  dead_.push_back(std::move(it->second));
+  peers_.erase(it);
+}
+
+void Viewers::drop(Peer& peer) {
+  peer.link.close();
+  down(peer);
+}
+
+void Viewers::tick(Micros now) {
+  dead_.clear();
+  std::vector<Peer*> over;
+  for (auto& [id, peer] : peers_)
+    if (peer->open.empty() && peer->standing.empty() &&
+        now - peer->since > (peer->proven ? bounds_.idle : bounds_.silent))
+      over.push_back(peer.get());
+  for (Peer* peer : over) drop(*peer);
+}
+
+// ---- what comes in ----
+
+void Viewers::heard(Peer& peer, Message& message) {
+  switch (message.op) {
+    case Op::offer:
+      return offered(peer, message);
+    case Op::test: {
+      peer.proven = true;
+      peer.since = net::unixNow();
+      Message reply;
+      reply.op = Op::tested;
+      reply.call = message.call;
+      reply.why = ear_.ready() ? cause::passed : 0;
+      peer.link.say(reply);
+      return;
+    }
+    case Op::end: {
+      const auto it = calls_.find(message.call);
+      if (it == calls_.end()) return;  // over already, its release crossed this one
+      Held& held = *it->second;
+      // What was not answered belongs to its connection: no other may take it back.
+      if (!held.call.answered && held.peer != &peer) return useless(peer, message.call);
+      const bool stood = held.call.answered;
+      ear_.left(held.call);
+      forget(held);
+      if (!stood) return;
+      Message reply;
+      reply.op = Op::ended;
+      reply.call = message.call;
+      peer.link.say(reply);
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+// Guards against what no media node could use, floods of it, and the same thing again as soon as it is
+// turned away: one answer, and the connection goes unless it carries something.
+void Viewers::useless(Peer& peer, const std::string& call) {
+  ++figures_.useless;
+  Message reply;
+  reply.op = Op::end;
+  reply.call = call;
+  reply.why = cause::invalid;
+  peer.link.say(reply);
+  if (peer.open.empty() && peer.standing.empty()) drop(peer);
+}
+
+void Viewers::offered(Peer& peer, const Message& message) {
+  session::Ask ask;
+  std::string node;
+  if (!read(message, ask, node)) return useless(peer, message.call);
+  const bool adopting = !node.empty();
+  const auto known = calls_.find(message.call);
+  if (known != calls_.end()) {
+    if (adopting && known->second->call.answered) return;  // named again at a start
+    // The id of another's request. On the same connection an answer would pass for that to the first.
+    if (known->second->peer == &peer) return drop(peer);
+    return useless(peer, message.call);
+  }
+  if (!adopting && peer.open.size() >= bounds_.openPerConnection) {
+    ++figures_.floods;
+    Message reply;
+    reply.op = Op::end;
+    reply.call = message.call;
+    reply.why = cause::full;
+    if (terms_.retryAfter) reply.with["wait"] = std::to_string(terms_.maxRetryAfter / 1000);
+    peer.link.say(reply);
+    return;
+  }
+  peer.proven = true;
+  peer.since = net::unixNow();
+  auto made = std::make_unique<Held>();
+  Held& held = *made;
+  held.peer = &peer;
+  held.call = {message.call, ++lastLine_, *message.find("class"), ask.title, *message.desc, adopting};
+  ask.line = held.call.line;
+  (adopting ? peer.standing : peer.open).emplace(held.call.line, &held);
+  lines_[held.call.line] = &held;
+  calls_.emplace(message.call, std::move(made));
+  if (adopting)
+    ear_.adopted(held.call, std::move(ask), node);
+  else
+    ear_.asked(held.call, std::move(ask));
+}
+
+// The numbers of a set-up within what they can mean; the rest is refused whole.
+bool Viewers::read(const Message& message, session::Ask& ask, std::string& node) const {
+  const std::string* room = message.find("class");
+  const std::string* title = message.find("key");
+  const std::string* left = message.find("left");
+  const std::string* extras = message.find("extras");
+  if (room == nullptr || title == nullptr || title->empty() || extras == nullptr || !message.desc ||
+      message.desc->empty())
+    return false;
+  ask.roomType = terms::placeOf(names_.roomTypes, *room);
+  if (ask.roomType < 0) return false;
+  ask.title = *title;
+  std::map<std::string, std::string> facts;
+  try {
+    facts = jsonl::pairsOf(*extras);
+  } catch (const jsonl::BadLine&) {
+    return false;
+  }
+  const auto whole = [&](const char* key, long long least, long long most) {
+    const auto it = facts.find(key);
+    return it == facts.end() ? std::nullopt : jsonl::wholeOf(it->second, least, most);
+  };
+  const auto home = whole("home", 0, std::max(0, terms_.cells - 1));
+  const auto copies = whole("copies", 1, std::max(1, terms_.cells));
+  const auto top = whole("top", 0, 1000);
+  if (!home || !copies || !top) return false;
+  ask.firstCell = static_cast<int>(*home);
+  ask.holders = static_cast<int>(*copies);
+  ask.top = static_cast<int>(*top);
+  if (const auto it = facts.find("viewer"); it != facts.end()) ask.viewer = it->second;
+  if (const auto it = facts.find("at"); it != facts.end()) node = it->second;
+  if (left != nullptr) {
+    const auto milliseconds = jsonl::realOf(*left, 0, 3.6e6);
+    if (!milliseconds) return false;
+    ask.timeout = static_cast<Micros>(*milliseconds * 1000);
+  } else if (node.empty()) {
+    return false;
+  }
+  if (const std::string* hint = message.find("hint")) {
+    const auto milliseconds = jsonl::realOf(*hint, 0, 1e9);
+    if (!milliseconds) return false;
+    ask.length = static_cast<Micros>(*milliseconds * 1000);
+  }
+  return true;
+}
+
+// ---- answers ----
+
+Call* Viewers::find(session::Line line) {
+  const auto it = lines_.find(line);
+  return it == lines_.end() ? nullptr : &it->second->call;
+}
+
+void Viewers::forget(Held& held) {
+  if (held.peer != nullptr) {
+    held.peer->open.erase(held.call.line);
+    held.peer->standing.erase(held.call.line);
+    held.peer->since = net::unixNow();
+  }
+  lines_.erase(held.call.line);
+  calls_.erase(std::string(held.call.id));
+}
+
+// On the connection of its set-up, else on the newest, else on the next that comes.
+void Viewers::say(Held& held, const Message& message) {
+  if (held.peer != nullptr && held.peer->link.say(message)) return;
+  for (auto it = peers_.rbegin(); it != peers_.rend(); ++it)
+    if (it->second->proven && it->second->link.say(message)) return;
+  unsaid_.push_back(message);
+}
+
+void Viewers::playing(session::Line line, const std::string& desc) {
+  const auto it = lines_.find(line);
+  if (it == lines_.end()) return;
+  Held& held = *it->second;
+  Message message;
+  message.op = Op::accept;
+  message.call = held.call.id;
+  message.desc = desc;
+  held.call.answered = true;
+  if (held.peer == nullptr) return;
+  held.peer->open.erase(line);
+  held.peer->standing.emplace(line, &held);
+  held.peer->link.say(message);
+}
+
+void Viewers::throttled(session::Line line, Micros retryAfter) {
+  const auto it = lines_.find(line);
+  if (it == lines_.end()) return;
+  Message message;
+  message.op = Op::end;
+  message.call = it->second->call.id;
+  message.why = cause::full;
+  if (retryAfter > 0) message.with["wait"] = std::to_string(retryAfter / 1000);
+  if (it->second->peer != nullptr) it->second->peer->link.say(message);
+  forget(*it->second);
+}
+
+void Viewers::terminated(session::Line line) {
+  const auto it = lines_.find(line);
+  if (it == lines_.end()) return;
+  Message message;
+  message.op = Op::end;
+  message.call = it->second->call.id;
+  message.why = cause::broken;
+  if (it->second->peer != nullptr) it->second->peer->link.say(message);
+  forget(*it->second);
+}
+
+void Viewers::ended(session::Line line, bool finished) {
+  const auto it = lines_.find(line);
+  if (it == lines_.end()) return;
+  Message message;
+  message.op = Op::end;
+  message.call = it->second->call.id;
+  message.why = finished ? cause::over : cause::broken;
+  say(*it->second, message);
+  forget(*it->second);
+}
+
+Viewers::Figures Viewers::figures() const {
+  Figures figures = figures_;
+  figures.connections = peers_.size();
+  figures.calls = calls_.size();
+  return figures;
+}
+
+}  // namespace lupinsill::platform
--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -7,9 +7,8 @@
 namespace {
 
 constexpr Micros millisecond = 1'000;
-constexpr Micros tick = 200 * millisecond;      // at least so often there is a turn
-constexpr Micros leastLeft = 60 * millisecond;  // under it no join could be answered in time
-constexpr int roundsMost = 64;                  // of held-back joins within one turn
+constexpr Micros tick = 200 * millisecond;  // at least so often there is a turn
+constexpr int roundsMost = 64;              // of held-back joins within one turn
 
 bool provesNothingRan(Outcome outcome) {
   return outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot;
@@ -193,7 +192,7 @@
   // Guards against answers after the client timeout where this director stood still: the ask may have lain
   // in its socket for as long as that, and the client's clock has run all the time.
   const Micros giveUpAt = now_ + ask.timeout - bounds_.answerMargin - waited_;
-  if (giveUpAt - now_ < leastLeft) {
+  if (giveUpAt - now_ < bounds_.leastLeft) {
     ++figures_.late;
     return refuse(WhyThrottled::late);
   }
@@ -216,19 +215,47 @@
   deadlines_.emplace(giveUpAt, request.id);
   ++figures_.open;
   guards_.asked(now_);
-  Viewing viewing{request.id,
-                  request.ask.title,
-                  request.ask.viewer,
-                  request.ask.roomType,
-                  request.ask.party,
-                  request.ask.firstCell,
-                  request.ask.holders,
-                  request.ask.top,
-                  giveUpAt,
-                  request.ask.length,
-                  false};
+  events_.push_back(Requested{viewingOf(request)});
+  requests_.emplace(request.id, std::move(made));
+}
+
+Viewing Front::viewingOf(const Request& request) const {
+  const Ask& ask = request.ask;
+  return {request.id,  ask.title, ask.viewer,       ask.roomType, ask.party, ask.firstCell,
+          ask.holders, ask.top,   request.giveUpAt, ask.length,   ask.moved};
+}
+
+JoinKey Front::adopt(Ask ask, NodeId node) {
+  came_.push_back(CameAdopted{std::move(ask), node, ++nextJoin_});
+  return nextJoin_;
+}
+
+// It counts for its seats and its node from here on, as if this run had joined it itself.
+void Front::take(CameAdopted& came) {
+  if (lines_.contains(came.ask.line) || came.ask.roomType < 0 ||
+      static_cast<std::size_t>(came.ask.roomType) >= terms_.roomTypes.size())
+    return;
+  auto made = std::make_unique<Request>();
+  Request& request = *made;
+  request.id = ++nextSub_;
+  request.lines.push_back({came.ask.line, true});
+  request.unsafe = terms_.roomTypes[static_cast<std::size_t>(came.ask.roomType)].effect != Effect::repeatable;
+  request.answered = request.mayHaveRun = true;
+  request.ask = std::move(came.ask);
+  request.joins = 1;
+  lines_[request.ask.line] = request.id;
+  auto out = std::make_unique<JoinOut>();
+  out->key = came.key;
+  out->request = &request;
+  out->node = came.node;
+  out->written = out->began = true;
+  out->counted = bounds_.guarded;
+  if (out->counted) guards_.adopted(request.ask.title, request.ask.roomType);
+  request.out = out.get();
+  ++figures_.plays;
+  events_.push_back(UnderWay{viewingOf(request), came.node});
+  joins_.emplace(came.key, std::move(out));
   requests_.emplace(request.id, std::move(made));
-  events_.push_back(Requested{std::move(viewing)});
 }
 
 // Guards against a second charge where the answer to a paid ask was lost, the socket closed in the middle or
@@ -464,7 +491,9 @@
                     request.rung,
                     request.ask.title,
                     request.ask.viewer,
-                    request.ask.askKey};
+                    request.ask.askKey,
+                    request.ask.line,
+                    out.until};
   if (request.unsafe && !request.ask.askKey.empty())
     letGo(order, ledger_.intend(now_, request.key));
   else
--- a/src/session/front.h
+++ b/src/session/front.h
@@ -46,6 +46,7 @@
   enum class Again { no, here, elsewhere } again = Again::no;
   std::optional<Micros> length;
   std::optional<Micros> againAge = std::nullopt;  // how long before this ask its key was first sent
+  bool moved = false;  // its subscription was taken off a node by a director, and it is back for another
 };
 
 // How the front is bounded, apart from the terms that the decider reads.
@@ -60,6 +61,8 @@
   bool keysStored = false;    // a store stands behind the ledger: intents wait for it
   std::size_t playsMost = 0;  // subscriptions held in all
   bool guarded = true;        // off only where the lab plants a fault behind the guards
+  // Asks with less time left than this are throttled unheard; 0 leaves that to the decider alone.
+  Micros leastLeft = 60'000;
 };
 
 enum class WhyThrottled { noRoom, busy, late, draining, unknownTitle };
@@ -104,6 +107,8 @@
   std::string title;
   std::string viewer;
   std::string askKey;  // the same over all joins of one ask: a node may know a repeat by it
+  Line line;           // of the first that asked
+  Micros until;        // the join is given up on then
 };
 struct ChangeRung {
   JoinKey join;
@@ -140,6 +145,8 @@
 
   // What came in since the last turn, in the order in which it arrived.
   void ask(Ask ask);
+  // A subscription that was playing at `node` before this run began: it is owed no answer, only its end.
+  JoinKey adopt(Ask ask, NodeId node);
   void leave(Line line);   // the player said that it leaves
   void closed(Line line);  // its socket closed; it may come back with the same key
   // The media edge asks as it is about to write a join; once told true it has left, and may run. False: it is
@@ -209,6 +216,11 @@
   struct CameAsk {
     Ask ask;
   };
+  struct CameAdopted {
+    Ask ask;
+    NodeId node;
+    JoinKey key;
+  };
   struct CameLeave {
     Line line;
     bool closed;
@@ -225,14 +237,16 @@
   struct CameBegan {
     JoinKey join;
   };
-  using Came = std::variant<CameAsk, CameLeave, CameEvent, CameEnd, CameBegan>;
+  using Came = std::variant<CameAsk, CameAdopted, CameLeave, CameEvent, CameEnd, CameBegan>;
 
   void take(CameAsk& came);
+  void take(CameAdopted& came);
   void take(CameLeave& came);
   void take(CameEvent& came);
   void take(CameEnd& came);
   void take(CameBegan& came);
   bool repeated(const Ask& ask);
+  Viewing viewingOf(const Request& request) const;
   void act(const Action& action);
   void join(Request& request, NodeId node, Micros patience);
   void endBeforePlay(JoinOut& out, Outcome outcome, const LoadReport& report, bool tellEdge);
--- a/src/session/guards.h
+++ b/src/session/guards.h
@@ -32,6 +32,7 @@
   // Whether it may be written now: it may have waited for a disk or a connection since it was placed, while
   // its node began to drain, went, or started anew. Counted against a cold node here and nowhere else.
   bool mayWrite(Micros now, NodeId node, Rule& rule);
+  void adopted(const std::string& title, int roomType) { ++seats_[{title, roomType}]; }
   void ended(const std::string& title, int roomType);
 
   bool draining(NodeId node) const;  // told to drain, told gone, or never told of
--- /dev/null
+++ b/src/terms/terms.h
@@ -0,0 +1,22 @@
+// What a deployment's settings object says, as the decisions read it: on the drill's wire and in a director's
+// configuration alike. Names and nanoseconds of the operators end here.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "control.h"
+#include "terms/reading.h"
+
+namespace lupinsill::terms {
+
+// The names that the settings state and that events then refer to.
+struct Names {
+  std::vector<std::string> roomTypes;
+  std::vector<std::string> parties;
+  std::vector<std::string> kinds;
+};
+
+Terms termsOf(const Json& options, Names& names);
+
+}  // namespace lupinsill::terms
