--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -179,12 +179,15 @@
   ledgerList->add_option("file", file, "The ledger's file")->required();
   ledgerList->footer("Example: lupinsill ledger ls examples/small-ledger.mdb");
 
-  std::string configuration;
+  std::string configuration, platformLog = "info";
   CLI::App* platform =
       app.add_subcommand("run", "Be a director on the operators' platform, in the foreground");
   platform->add_option("--config", configuration, "Configuration (JSON), as the platform writes it")
       ->envname("LB_CONFIG")
       ->required();
+  platform->add_option("--log", platformLog, "error, warn, info, or debug: every message")
+      ->check(CLI::IsMember({"error", "warn", "info", "debug"}))
+      ->capture_default_str();
   platform->footer("Example: LB_CONFIG=/run/balancer/config.json lupinsill run");
 
   CLI::App* tickets = app.add_subcommand("ticket", "Look at a ticket as a media node has to");
@@ -276,7 +279,7 @@
       }
       return director::run(start);
     }
-    if (platform->parsed()) return platform::run(configuration);
+    if (platform->parsed()) return platform::run(configuration, platformLog);
     if (check->parsed()) {
       settings::readDeployment(file);
       std::printf("%s: good\n", file.c_str());
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -5,14 +5,25 @@
 #include <cerrno>
 #include <utility>
 
+#include "director/log.h"
+
 namespace lupinsill::platform {
 namespace {
 
 constexpr std::size_t unsentMost = 256 * 1024;  // to one that reads nothing
 
+bool traced = false;
+
+void trace(const std::string& name, const char* way, const std::string& what) {
+  if (traced) director::log(director::Level::debug, way, {{"at", name}, {"message", what}});
+}
+
 }  // namespace
 
-Link::Link(Ear& ear, net::Bev bev, bool isUp) : ear_(ear), bev_(std::move(bev)), up_(isUp) {
+void traceMessages(bool on) { traced = on; }
+
+Link::Link(Ear& ear, net::Bev bev, bool isUp, std::string name)
+    : ear_(ear), bev_(std::move(bev)), up_(isUp), name_(std::move(name)) {
   if (!bev_) return;
   bufferevent_setcb(bev_.get(), onRead, nullptr, onEvent, this);
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
@@ -29,6 +40,7 @@
 bool Link::say(const jsonl::Message& message) {
   if (!isUp()) return false;
   const std::string bytes = jsonl::bytesOf(message);
+  if (traced) trace(name_, "out", bytes.substr(0, bytes.size() - 1));
   evbuffer* output = bufferevent_get_output(bev_.get());
   std::size_t sent = 0;
   if (evbuffer_get_length(output) == 0) {
@@ -51,6 +63,7 @@
 
 void Link::end(End how) {
   if (!bev_) return;
+  trace(name_, "down", std::to_string(static_cast<int>(how)));
   close();
   ear_.down(*this, how);
 }
@@ -66,6 +79,7 @@
     while (link.bev_) {
       std::optional<jsonl::Message> message = link.reader_.next();
       if (!message) return;
+      if (traced) trace(link.name_, "in", jsonl::bytesOf(*message));
       link.ear_.heard(link, *message);
     }
   } catch (const jsonl::BadLine&) {
@@ -78,6 +92,7 @@
   if (!link.bev_) return;
   if (what & BEV_EVENT_CONNECTED) {
     link.up_ = true;
+    trace(link.name_, "up", "");
     net::noDelay(bufferevent_getfd(link.bev_.get()));
     return link.ear_.up(link);
   }
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -20,7 +20,8 @@
     virtual void heard(Link& link, jsonl::Message& message) = 0;
     virtual void down(Link& link, End how) = 0;
   };
-  Link(Ear& ear, net::Bev bev, bool isUp);
+  // `name`: what the log calls it.
+  Link(Ear& ear, net::Bev bev, bool isUp, std::string name);
   Link(const Link&) = delete;
   virtual ~Link() = default;
 
@@ -40,7 +41,11 @@
   Ear& ear_;
   net::Bev bev_;
   bool up_;
+  std::string name_;
   jsonl::Reader reader_;
 };
 
+// Whether every message is written to the log; set once at start.
+void traceMessages(bool on);
+
 }  // namespace lupinsill::platform
--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -16,8 +16,8 @@
 }  // namespace
 
 struct Nodes::Wire final : Link::Ear {
-  Wire(Nodes& nodes, Node& at, net::Bev bev)
-      : owner(nodes), node(at), since(net::unixNow()), link(*this, std::move(bev), false) {}
+  Wire(Nodes& nodes, Node& at, net::Bev bev, std::string name)
+      : owner(nodes), node(at), since(net::unixNow()), link(*this, std::move(bev), false, std::move(name)) {}
   void up(Link&) override { owner.up(*this); }
   void heard(Link&, Message& message) override { owner.heard(*this, message); }
   void down(Link&, Link::End how) override { owner.down(*this, how); }
@@ -91,7 +91,9 @@
   net::Bev bev = net::connectTo(base_, node.box.host, node.box.port);
   if (!bev) return nullptr;
   ++wires_;
-  node.wires.push_back(std::make_unique<Wire>(*this, node, std::move(bev)));
+  node.wires.push_back(std::make_unique<Wire>(
+      *this, node, std::move(bev),
+      "node-" + std::to_string(node.box.node) + "/" + std::to_string(figures_.connects)));
   return node.wires.back().get();
 }
 
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -38,7 +38,7 @@
 
 class Director final : public Viewers::Ear, public Nodes::Ear {
  public:
-  explicit Director(const std::string& file);
+  Director(const std::string& file, const std::string& logLevel);
   int loop();
 
  private:
@@ -113,7 +113,7 @@
 // Viewers hold at most a third of the descriptors, others may try to hold more; the rest is for nodes.
 std::size_t forViewers(std::size_t sockets) { return (sockets - spareSockets) * 9 / 20; }
 
-Director::Director(const std::string& file)
+Director::Director(const std::string& file, const std::string& logLevel)
     : file_(file),
       told_(readConfiguration(file)),
       base_(event_base_new()),
@@ -122,7 +122,8 @@
       front_(told_.terms, boundsOf(told_), std::make_unique<session::ByControl>(told_.terms, told_.seed)),
       nodes_(base_.get(), *this,
              {told_.sockets - spareSockets - forViewers(told_.sockets), told_.connectTime}) {
-  director::setUpLog("info", "text", told_.name);
+  director::setUpLog(logLevel, "text", told_.name);
+  traceMessages(logLevel == "debug");
   front_.told(membership_.startFrom(wordOf(told_.listNumber, told_.known)));
   resolve();
   viewers_ = std::make_unique<Viewers>(base_.get(), *this, told_.listen.host, told_.listen.port, told_.names,
@@ -359,6 +360,8 @@
 
 }  // namespace
 
-int run(const std::string& configurationFile) { return Director(configurationFile).loop(); }
+int run(const std::string& configurationFile, const std::string& logLevel) {
+  return Director(configurationFile, logLevel).loop();
+}
 
 }  // namespace lupinsill::platform
--- a/src/platform/run.h
+++ b/src/platform/run.h
@@ -9,6 +9,7 @@
 namespace lupinsill::platform {
 
 // Runs until SIGTERM has been followed; throws terms::BadInput or net::CannotListen where it can't start.
-int run(const std::string& configurationFile);
+// `logLevel`: error, warn, info or debug; debug shows every message.
+int run(const std::string& configurationFile, const std::string& logLevel);
 
 }  // namespace lupinsill::platform
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -11,7 +11,10 @@
 
 struct Viewers::Peer final : Link::Ear {
   Peer(Viewers& viewers, std::uint64_t number, net::Bev bev)
-      : owner(viewers), id(number), since(net::unixNow()), link(*this, std::move(bev), true) {}
+      : owner(viewers),
+        id(number),
+        since(net::unixNow()),
+        link(*this, std::move(bev), true, "viewer-" + std::to_string(number)) {}
   void up(Link&) override {}
   void heard(Link&, Message& message) override { owner.heard(*this, message); }
   void down(Link&, Link::End how) override {
@@ -219,9 +222,10 @@
   if (const auto it = facts.find("viewer"); it != facts.end()) ask.viewer = it->second;
   if (const auto it = facts.find("at"); it != facts.end()) node = it->second;
   if (left != nullptr) {
-    const auto milliseconds = jsonl::realOf(*left, 0, 3.6e6);
+    // What plays already waits for nothing: its figure stands for no limit.
+    const auto milliseconds = jsonl::realOf(*left, 0, node.empty() ? 3.6e6 : 1e15);
     if (!milliseconds) return false;
-    ask.timeout = static_cast<Micros>(*milliseconds * 1000);
+    ask.timeout = node.empty() ? static_cast<Micros>(*milliseconds * 1000) : 0;
   } else if (node.empty()) {
     return false;
   }
