--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -274,7 +274,10 @@
   if (held.peer == nullptr) return;
   held.peer->open.erase(line);
   held.peer->standing.emplace(line, &held);
-  held.peer->link.say(message);
+  if (held.peer->link.say(message)) return;
+  // Guards against a subscription that plays for nobody: its viewer's connection broke under the answer.
+  ear_.left(held.call);
+  forget(held);
 }
 
 void Viewers::throttled(session::Line line, Micros retryAfter) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -740,3 +740,56 @@
   }
   CHECK(answered == 20);
 }
+
+TEST_CASE("A subscription under way takes its seat and node, is owed no answer, and its end is told") {
+  Stage s;
+  const auto adopt = [&](Line line) {
+    return s.front.adopt({line, "", "viewer", "t", 1, -1, 0, 4, 2, 0, Ask::Again::no, std::nullopt}, 2);
+  };
+  const JoinKey first = adopt(1);
+  adopt(2);
+  adopt(3);  // the last of three seats
+  s.turn();
+  CHECK(s.orders.empty());
+  CHECK(s.front.figures().plays == 3);
+  REQUIRE(std::count_if(s.decider->heard.begin(), s.decider->heard.end(),
+                        [](const Event& e) { return std::holds_alternative<UnderWay>(e); }) == 3);
+  s.ask(4, "", 1);
+  s.decider->next = {Join{4, 1, 0}};
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  CHECK(s.held(Rule::seats) == 1);
+
+  s.front.ended(first, Outcome::ok, {}, true);
+  s.turn();
+  REQUIRE(s.only<Ended>() != nullptr);
+  CHECK(s.only<Ended>()->line == 1);
+  s.front.leave(2);
+  s.turn();
+  REQUIRE(s.only<TearDown>() != nullptr);
+  CHECK(s.front.figures().plays == 1);
+}
+
+TEST_CASE("What was under way plays on when its note comes in the same turn as it does") {
+  Stage s;
+  const JoinKey join =
+      s.front.adopt({1, "", "viewer", "t", 0, -1, 0, 4, 2, 0, Ask::Again::no, std::nullopt}, 2);
+  s.front.ended(join, Outcome::reset, {}, false);
+  s.turn();
+  REQUIRE(s.only<Ended>() != nullptr);
+  CHECK(s.only<Ended>()->why == WhyEnded::nodeLost);
+  CHECK(s.front.figures().plays == 0);
+}
+
+TEST_CASE("With no least time left the decider is asked, however little there is") {
+  Bounds b = bounds();
+  b.leastLeft = 0;
+  b.answerMargin = 10 * ms;
+  Stage s(b);
+  s.front.ask({1, "", "viewer", "t", 0, -1, 0, 4, 2, 30 * ms, Ask::Again::no, std::nullopt});
+  s.decider->next = {Throttle{1, 250 * ms}};
+  s.turn(ms);
+  REQUIRE(s.only<Throttled>() != nullptr);
+  CHECK(s.only<Throttled>()->retryAfter == 250 * ms);
+  CHECK(s.front.figures().late == 0);
+}
--- /dev/null
+++ b/tests/inquiry_test.cpp
@@ -0,0 +1,90 @@
+// When the name server is asked and what is believed of it; when a silent node counts as gone.
+#include <catch2/catch.hpp>
+
+#include "fleet/inquiry.h"
+#include "fleet/pulse.h"
+
+using namespace lupinsill;
+using fleet::Inquiry;
+using fleet::Pulse;
+
+namespace {
+constexpr Micros ms = 1'000, second = 1'000'000;
+}
+
+TEST_CASE("A lost answer is asked for again soon, a good one later") {
+  Inquiry inquiry(1);
+  Micros now = 10 * second;
+  CHECK(inquiry.due() <= now);
+  const std::uint16_t first = inquiry.ask(now);
+  CHECK(inquiry.due() <= now + 200 * ms);
+  now = inquiry.due();
+  const std::uint16_t second_ = inquiry.ask(now);
+  CHECK(first != second_);
+  CHECK(inquiry.expects(first));  // late, and still one of ours
+  CHECK(!inquiry.expects(first));
+  CHECK(!inquiry.expects(static_cast<std::uint16_t>(second_ + 1)));
+  CHECK(inquiry.believes(now, 7));
+  CHECK(inquiry.due() >= now + 200 * ms);
+  CHECK(inquiry.due() <= now + second);
+}
+
+TEST_CASE("An older list is not believed, and the next ask does not wait for it") {
+  Inquiry inquiry(1);
+  const Micros now = 10 * second;
+  inquiry.ask(now);
+  CHECK(inquiry.believes(now, 7));
+  const Micros due = inquiry.due();
+  inquiry.ask(due);
+  CHECK(!inquiry.believes(due, 6));
+  CHECK(inquiry.due() <= due + 200 * ms);
+  CHECK(inquiry.believes(due, 7));
+}
+
+TEST_CASE("Another address is asked at once, and answers to asks of the old one are void") {
+  Inquiry inquiry(1);
+  const std::uint16_t old = inquiry.ask(10 * second);
+  inquiry.moved(10 * second + ms);
+  CHECK(inquiry.due() <= 10 * second + ms);
+  CHECK(!inquiry.expects(old));
+}
+
+TEST_CASE(
+    "A node whose connections never come up any more is over, within the time viewers have to be told") {
+  Pulse pulse(10 * second);
+  Micros now = 10 * second;
+  Micros over = 0;
+  int tries = 0;
+  for (; now < 20 * second && over == 0; now += 25 * ms) {
+    const auto verdict = pulse.look(now, true, false);
+    if (verdict == Pulse::Verdict::tryIt) ++tries, pulse.failed(false);
+    if (verdict == Pulse::Verdict::over) over = now;
+  }
+  CHECK(tries >= 3);
+  CHECK(over > 13 * second);
+  CHECK(over < 17 * second);
+}
+
+TEST_CASE("A node that hangs but takes connections is not over") {
+  Pulse pulse(10 * second);
+  for (Micros now = 10 * second; now < 60 * second; now += 25 * ms) {
+    const auto verdict = pulse.look(now, true, false);
+    REQUIRE(verdict != Pulse::Verdict::over);
+    if (verdict == Pulse::Verdict::tryIt) pulse.heard(now);
+  }
+}
+
+TEST_CASE("A dead process is over once its machine has refused twice and no connection is left") {
+  Pulse pulse(10 * second);
+  Micros now = 10 * second + ms;
+  CHECK(pulse.look(now, false, false) == Pulse::Verdict::tryIt);
+  pulse.failed(true);
+  CHECK(pulse.look(now, false, false) == Pulse::Verdict::fine);
+  now += second / 2;
+  CHECK(pulse.look(now, true, false) != Pulse::Verdict::over);
+  CHECK(pulse.look(now, false, false) == Pulse::Verdict::tryIt);
+  CHECK(pulse.look(now, false, true) == Pulse::Verdict::fine);
+  pulse.failed(true);
+  CHECK(pulse.look(now, true, false) == Pulse::Verdict::fine);
+  CHECK(pulse.look(now, false, false) == Pulse::Verdict::over);
+}
--- /dev/null
+++ b/tests/roster_test.h
@@ -0,0 +1,101 @@
+// A name server's answers as bytes, written for tests: names compressed, anything wrong on demand.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lupinsill::tests {
+
+struct NodeRow {
+  std::string name, zone = "east", kind = "std", host = "127.0.0.1";
+  int port = 5070, cell = 0;
+  bool draining = false;
+  long long started = 0;
+};
+
+class DnsWriter {
+ public:
+  static std::string answer(std::uint16_t number, std::uint32_t serial, const std::vector<NodeRow>& rows,
+                            int rcode = 0, const std::string& service = "_api._tcp.svc.local") {
+    DnsWriter w;
+    w.put16(number);
+    w.put16(static_cast<unsigned>(0x8400 | rcode));
+    w.put16(1);
+    w.put16(static_cast<unsigned>(rows.size()));
+    w.put16(1);
+    w.put16(static_cast<unsigned>(2 * rows.size()));
+    w.name(service);
+    w.put16(33);
+    w.put16(1);
+    for (const NodeRow& row : rows)
+      w.record(service, 33, [&] {
+        w.put16(row.draining ? 1 : 0);
+        w.put16(40);
+        w.put16(static_cast<unsigned>(row.port));
+        w.name(row.name + "." + row.zone + ".hosts");
+      });
+    w.record("svc.local", 6, [&] {
+      w.name("ns.svc.local");
+      w.name("admin.svc.local");
+      w.put32(serial);
+      for (int i = 0; i < 4; ++i) w.put32(1);
+    });
+    for (const NodeRow& row : rows) {
+      const std::string host = row.name + "." + row.zone + ".hosts";
+      w.record(host, 1, [&] {
+        unsigned value = 0;
+        for (const char c : row.host + ".")
+          if (c == '.')
+            w.bytes_ += static_cast<char>(value), value = 0;
+          else
+            value = value * 10 + static_cast<unsigned>(c - '0');
+      });
+      w.record(host, 16, [&] {
+        for (const std::string& text : {"kind=" + row.kind, "cell=" + std::to_string(row.cell),
+                                        "started=" + std::to_string(row.started)})
+          w.bytes_ += static_cast<char>(text.size()) + text;
+      });
+    }
+    return w.bytes_;
+  }
+
+ private:
+  void put16(unsigned value) {
+    bytes_ += static_cast<char>(value >> 8);
+    bytes_ += static_cast<char>(value);
+  }
+  void put32(std::uint32_t value) {
+    put16(value >> 16);
+    put16(value & 0xffff);
+  }
+  void name(std::string text) {
+    while (!text.empty()) {
+      if (const auto it = at_.find(text); it != at_.end()) return put16(0xc000 | it->second);
+      at_[text] = static_cast<unsigned>(bytes_.size());
+      const std::size_t dot = text.find('.');
+      const std::string label = text.substr(0, dot);
+      bytes_ += static_cast<char>(label.size()) + label;
+      text = dot == std::string::npos ? "" : text.substr(dot + 1);
+    }
+    bytes_ += '\0';
+  }
+  template <class Data>
+  void record(const std::string& owner, unsigned type, Data data) {
+    name(owner);
+    put16(type);
+    put16(1);
+    put32(1);
+    const std::size_t size = bytes_.size();
+    put16(0);
+    data();
+    const std::size_t used = bytes_.size() - size - 2;
+    bytes_[size] = static_cast<char>(used >> 8);
+    bytes_[size + 1] = static_cast<char>(used);
+  }
+  std::string bytes_;
+  std::map<std::string, unsigned> at_;
+};
+
+}  // namespace lupinsill::tests
