Errors on titles that never played no longer shut nodes

A trace of every message: 68 and 69 errors by nodes, of them all but 2 on set-ups of bad clients under titles that nobody plays; each counted as a strike (control.cpp, Node::leave) and shut its node for a second and longer. Ruled out: descriptors (186 of 384), CPU (0.04 s in the busiest second), time-outs (1). Now an error counts against its node only where the title had played here before.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,6 +33,7 @@
 constexpr double rateSpread = 0.15;      // titles run this far over their rung's rate
 constexpr double rackPart = 2;           // newcomers that may meet in an uplink's room
 constexpr Micros courtesySpan = 30 * second;  // the paper's reconnect courtesy
+constexpr Micros playedSpan = 120 * second;   // a title that has played is known for so long
 constexpr Micros reportAge = 300'000;         // of a report that comes with an outcome, about
 constexpr Micros tickSpan = 200'000;
 constexpr Micros comersSpan = 30 * second;
@@ -120,6 +121,7 @@
   bool courtesy = false;
   bool overQuota = false;  // its tenant sends more than its share
   bool toldLink = false;   // the note at set-up has come
+  bool proven = false;     // its title had played when its join went out
 };
 
 struct Ask {
@@ -393,6 +395,7 @@
   std::map<int, std::unique_ptr<Rack>> racks;
   std::map<int, Cell> cells;
   std::map<std::pair<std::string, int>, int> seats;
+  std::map<std::string, Micros> played;  // titles, when one last began here
   std::map<std::string, Micros> broken;  // viewers whose subscription broke, until their courtesy ends
   std::map<int, Tally<10>> partyRate;
   Tally<10> linkSum, linkCount, uplinkSum, uplinkCount;
@@ -610,7 +613,9 @@
     shutUntil = std::max(shutUntil, post.now + std::min(courtesySpan, fullHold << std::min(3, fulls++)));
     if (terms().refusesFrom > 0 && linkUse() < terms().refusesFrom) readLink(terms().refusesFrom, 0);
   } else if (outcome != Outcome::ok && outcome != Outcome::cancelled && outcome != Outcome::moot) {
-    strike();
+    // Guards against requests that no node can use: they would shut one node after the other. An error on a
+    // title that never played says as much of the title.
+    if (outcome != Outcome::error || sub.proven) strike();
   }
   if (outcome != Outcome::full && outcome != Outcome::connectFailed && outcome != Outcome::moot) {
     sub.ran = this;
@@ -854,6 +859,7 @@
   sub.at = offer.node;
   sub.sent = now();
   sub.rung = offer.rung;
+  sub.proven = played.contains(sub.viewing.title);
   ++seatsTaken(sub);
   post.send(*offer.node, Take{&sub, offer.rung, false});
   act(SetRung{sub.id, offer.rung});
@@ -998,6 +1004,7 @@
     sub.joins = 1;
     sub.at = &node(e.node);
     sub.rung = sub.room->floor;
+    desk.played[sub.viewing.title] = post.now;
     ++desk.seatsTaken(sub);
     post.send(*sub.at, Take{&sub, sub.rung, true});
   }
@@ -1005,7 +1012,7 @@
     Sub* sub = find(e.sub);
     if (sub == nullptr || sub->at == nullptr || e.join != sub->joins - 1) return;
     sub->playing = sub->answered = true;
-    sub->began = post.now;
+    sub->began = desk.played[sub->viewing.title] = post.now;
     post.send(*sub->at, Play{});
   }
   // Guards against numbers that are none: they pass every comparison and poison every sum.
@@ -1044,6 +1051,7 @@
   }
   void on(const AlarmRang&) {
     std::erase_if(desk.broken, [&](const auto& entry) { return entry.second < post.now; });
+    std::erase_if(desk.played, [&](const auto& entry) { return entry.second + playedSpan < post.now; });
     desk.act(SetAlarm{0, tickSpan});
     // Not at once: a list out of reach is one service that all directors ask.
     if (askAgainAt != 0 && post.now >= askAgainAt) {
