A node still heard of after a broken connection is no longer taken for cold

Reset counts as a sign of death (control.cpp, Node::leave, lostAt), so the node is paced as cold for the whole cold time; the traffic showed these nodes alive, with notes of subscriptions from before. Ruled out: connections never coming up (failed=0), full nodes (0). Now a note of an older subscription, later than notes are late, clears the sign.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -627,6 +627,9 @@
 }
 
 void Node::hear(Sub& sub, Reading reading, double value) {
+  // Guards against one broken connection that passes for a death: a subscription from before it that is still
+  // heard of, later than notes are late, shows that the process lives and is not cold.
+  if (sub.playing && sub.began < lostAt && post.now - lostAt > terms().seenAfter) lostAt = 0;
   const Micros age = sub.toldLink ? terms().seenAfter : 0;
   switch (reading) {
     case Reading::delivered: {
