A list that lost nearly all its entries is believed after half the grace only

Seen on reading: with nothing kept, one whole but empty answer under a newer serial took every node away at once (run.cpp, membership_ with leastKept 0). Now over nine in ten missing are doubted for half the grace, as the other director does, and confirmed in the loop. Test: a list without entries, then the whole one; set-ups go on.

--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -34,6 +34,8 @@
 constexpr int catchUpPasses = 16;
 constexpr Micros lingers = 1'200'000;  // new set-ups still come so long after SIGTERM, and are answered
 constexpr Micros figuresEvery = 5'000'000;
+// A list that lost nearly all its entries looks like a fleet that went: it is believed after half the grace.
+constexpr double leastKept = 0.1;
 constexpr std::size_t spareSockets = 24;  // of the loop, the name server, the log, and what is being closed
 
 class Director final : public Viewers::Ear, public Nodes::Ear {
@@ -117,7 +119,7 @@
     : file_(file),
       told_(readConfiguration(file)),
       base_(event_base_new()),
-      membership_(told_.terms.cells, 0, told_.grace),
+      membership_(told_.terms.cells, leastKept, told_.grace),
       inquiry_(told_.seed),
       front_(told_.terms, boundsOf(told_), std::make_unique<session::ByControl>(told_.terms, told_.seed)),
       nodes_(base_.get(), *this,
@@ -345,6 +347,11 @@
     askForList(last);
     if (last - housedAt_ >= housekeeping) {
       housedAt_ = last;
+      if (ListTold gone = membership_.confirm(last); !gone.entries.empty()) {
+        log(Level::warn, "list-confirmed", {{"gone", std::to_string(gone.entries.size())}});
+        nodes_.listed(membership_);
+        front_.told(std::move(gone));
+      }
       nodes_.tick(last);
       viewers_->tick(last);
     }
