The viewers' side no longer chooses when floods return; two refusals folded, a dead mark out

Cause: read once more, the edge told every set-up of a flood the same longest time (viewers.cpp, offered): a decision in an edge, and a crowd told one moment. throttled and terminated were one function twice; Ask::moved was never set. Change: times come from the module's ComeBack, one turnAway, the mark gone. Test added, also for the broken connection under an answer, which had none.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -36,7 +36,7 @@
 
 Viewers::Viewers(event_base* base, Ear& ear, const std::string& host, int port, const terms::Names& names,
                  const Terms& terms, Bounds bounds)
-    : base_(base), ear_(ear), names_(names), terms_(terms), bounds_(bounds) {
+    : base_(base), ear_(ear), names_(names), terms_(terms), bounds_(bounds), comeBack_(terms) {
   listener_ = net::listenOn(base, host, port, onAccept, this);
 }
 Viewers::~Viewers() = default;
@@ -170,7 +170,8 @@
     reply.op = Op::end;
     reply.call = message.call;
     reply.why = cause::full;
-    if (terms_.retryAfter) reply.with["wait"] = std::to_string(terms_.maxRetryAfter / 1000);
+    if (const Micros retryAfter = comeBack_.next(); retryAfter > 0)
+      reply.with["wait"] = std::to_string(retryAfter / 1000);
     peer.link.say(reply);
     return;
   }
@@ -281,24 +282,23 @@
 }
 
 void Viewers::throttled(session::Line line, Micros retryAfter) {
-  const auto it = lines_.find(line);
-  if (it == lines_.end()) return;
   Message message;
-  message.op = Op::end;
-  message.call = it->second->call.id;
   message.why = cause::full;
   if (retryAfter > 0) message.with["wait"] = std::to_string(retryAfter / 1000);
-  if (it->second->peer != nullptr) it->second->peer->link.say(message);
-  forget(*it->second);
+  turnAway(line, std::move(message));
 }
 
 void Viewers::terminated(session::Line line) {
+  Message message;
+  message.why = cause::broken;
+  turnAway(line, std::move(message));
+}
+
+void Viewers::turnAway(session::Line line, Message message) {
   const auto it = lines_.find(line);
   if (it == lines_.end()) return;
-  Message message;
   message.op = Op::end;
   message.call = it->second->call.id;
-  message.why = cause::broken;
   if (it->second->peer != nullptr) it->second->peer->link.say(message);
   forget(*it->second);
 }
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -70,6 +70,7 @@
   void down(Peer& peer);
   void drop(Peer& peer);
   void say(Held& held, const jsonl::Message& message);
+  void turnAway(session::Line line, jsonl::Message message);
   void forget(Held& held);
 
   event_base* base_;
@@ -77,6 +78,7 @@
   terms::Names names_;
   Terms terms_;
   Bounds bounds_;
+  ComeBack comeBack_;  // for floods: the times are the module's, spread like its own
   net::Listener listener_;
   session::Line lastLine_ = 0;
   std::uint64_t lastPeer_ = 0;
--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -222,7 +222,7 @@
 Viewing Front::viewingOf(const Request& request) const {
   const Ask& ask = request.ask;
   return {request.id,  ask.title, ask.viewer,       ask.roomType, ask.party, ask.firstCell,
-          ask.holders, ask.top,   request.giveUpAt, ask.length,   ask.moved};
+          ask.holders, ask.top,   request.giveUpAt, ask.length,   false};
 }
 
 JoinKey Front::adopt(Ask ask, NodeId node) {
--- a/src/session/front.h
+++ b/src/session/front.h
@@ -46,7 +46,6 @@
   enum class Again { no, here, elsewhere } again = Again::no;
   std::optional<Micros> length;
   std::optional<Micros> againAge = std::nullopt;  // how long before this ask its key was first sent
-  bool moved = false;  // its subscription was taken off a node by a director, and it is back for another
 };
 
 // How the front is bounded, apart from the terms that the decider reads.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include "jsonl/message.h"
@@ -466,6 +467,26 @@
   next.talk.need(Op::end, second);
 }
 
+TEST_CASE(
+    "Nothing plays for a viewer whose connection broke before the answer; floods are told when to return") {
+  Rig rig(1);
+  std::optional<Talk> viewer(rig.viewer());
+  const std::string call = rig.freshCall();
+  viewer->say(offer(call));
+  Arrived at = arrive(rig, call);
+  viewer->reset();
+  at.talk.say(accepted(call));
+  at.talk.need(Op::end, call);
+
+  Talk flood = rig.viewer();
+  for (int i = 0; i < 60; ++i) flood.say(offer(rig.freshCall()));
+  std::set<std::string> waits;
+  for (int i = 0; i < 60 && waits.size() < 3; ++i)
+    if (const auto end = flood.hear(2'000); end && end->op == Op::end && end->find("wait") != nullptr)
+      waits.insert(*end->find("wait"));
+  CHECK(waits.size() >= 3);  // not all at one time
+}
+
 TEST_CASE("The end of what stands finds the viewer though its connection has gone") {
   Rig rig;
   const std::string call = rig.freshCall();
