A viewer that goes takes a join along that has not left; nothing is placed for it after

Front::lapse left a join that waited for its connection or a disk where the settings do not allow cancelling, and Nodes::up wrote it up to a connection's lateness after its viewer had gone. It is given back as never sent now. A paid ask whose socket closed kept its unwritten join too, for its return: the same key asks anew. 2.

--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -320,7 +320,9 @@
   std::erase_if(request.lines, [&](const LineOf& l) { return l.line == came.line; });
   if (!request.lines.empty() || request.lapsed) return;
   // A paid subscription whose player vanished goes on for a while, so that the same key finds it again.
-  if (came.closed && request.unsafe && request.out != nullptr && !request.ask.askKey.empty()) {
+  // One that has not left yet may not begin for nobody: the same key asks anew.
+  if (came.closed && request.unsafe && request.out != nullptr && request.out->written &&
+      !request.ask.askKey.empty()) {
     deadlines_.erase({request.giveUpAt, request.id});
     request.orphanUntil = now_ + bounds_.orphanHold;
     deadlines_.emplace(request.orphanUntil, request.id);
@@ -335,6 +337,14 @@
   request.lapsed = true;
   settle(request);
   deadlines_.erase({request.giveUpAt, request.id});
+  // Guards against a join for nobody. One that waits for its connection or a disk is given back, whether or
+  // not the settings allow to take back what has left. And where the last one ended in this same turn, the
+  // decider hears that nothing follows: it would place another, which nobody would ever end.
+  if (request.out != nullptr && !request.out->written)
+    return finishJoin(*request.out, Outcome::moot, {}, true, true);
+  for (Event& event : events_)
+    if (auto* ended = std::get_if<JoinEnded>(&event); ended != nullptr && ended->sub == request.id)
+      ended->settled = true;
   events_.push_back(Lapsed{request.id});
   if (request.out != nullptr) return;
   forget(request.id);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -63,6 +63,12 @@
     actions.insert(actions.end(), next.begin(), next.end());
     next.clear();
   }
+  int settledEnds() const {
+    return static_cast<int>(std::count_if(heard.begin(), heard.end(), [](const Event& event) {
+      const auto* end = std::get_if<JoinEnded>(&event);
+      return end != nullptr && end->settled;
+    }));
+  }
 };
 
 struct Stage {
@@ -71,8 +77,10 @@
   Micros now = 10 * second;
   std::vector<Order> orders;
 
-  explicit Stage(Bounds b = bounds()) : Stage(std::make_unique<Scripted>(), b) {}
-  Stage(std::unique_ptr<Scripted> made, Bounds b) : decider(made.get()), front(terms(), b, std::move(made)) {
+  explicit Stage(Bounds b = bounds(), const Terms& t = terms())
+      : Stage(std::make_unique<Scripted>(), b, t) {}
+  Stage(std::unique_ptr<Scripted> made, Bounds b, const Terms& t = terms())
+      : decider(made.get()), front(t, b, std::move(made)) {
     ListTold list{ListKind::total, {}};
     for (NodeId n = 1; n <= 4; ++n)
       list.entries.push_back({n, NodeState::ready, 0, 1, static_cast<int>(n) - 1, 0, "a"});
@@ -201,6 +209,85 @@
   CHECK(ended->outcome == Outcome::connectFailed);
 }
 
+TEST_CASE("A join that waits for its connection or a disk is given back when its viewer goes") {
+  Terms own = terms();
+  SECTION("where what has left can be taken back") {}
+  SECTION("where it can't") { own.cancelling = false; }
+  const bool stored = GENERATE(false, true), closed = GENERATE(false, true);
+  Bounds b = bounds();
+  b.keysStored = stored;
+  Stage s(b, own);
+  s.ask(1, "k", 1);
+  s.decider->next = {SetRung{1, 1}, Join{1, 1, 0}};
+  s.turn();
+  REQUIRE((s.only<SetUp>() == nullptr) == stored);
+  s.decider->heard.clear();
+  closed ? s.front.closed(1) : s.front.leave(1);
+  s.turn();
+  // Whatever comes up from here on, a connection or the disk: nothing is left that could be written.
+  CHECK(!s.front.leaves(s.now, 1));
+  if (stored) s.front.durable(1);
+  s.turn();
+  CHECK(s.only<SetUp>() == nullptr);
+  REQUIRE(!s.decider->heard.empty());
+  CHECK(s.decider->settledEnds() == 1);
+  CHECK(s.front.figures().open == 0);
+}
+
+TEST_CASE("Nothing is placed for a viewer whose leave is read in the turn in which its join ends") {
+  const Outcome outcome = GENERATE(Outcome::full, Outcome::connectFailed, Outcome::error);
+  Front front(terms(), bounds(), std::make_unique<ByControl>(terms(), 5));
+  ListTold list{ListKind::total, {}};
+  for (NodeId n = 1; n <= 2; ++n)
+    list.entries.push_back({n, NodeState::ready, 0, 1, static_cast<int>(n) - 1, 0, "a"});
+  front.told(list);
+  std::vector<Order> orders;
+  Micros now = 10 * second;
+  const auto turn = [&] { front.turn(now += 10 * ms, orders); };
+  const auto setUps = [&] {
+    std::vector<SetUp> all;
+    for (const Order& order : orders)
+      if (const auto* one = std::get_if<SetUp>(&order)) all.push_back(*one);
+    return all;
+  };
+  const auto ask = [&](Line line) {
+    front.ask({line, "k" + std::to_string(line), "v", "t", 0, -1, 0, 2, 2, 3 * second, Ask::Again::no,
+               std::nullopt});
+  };
+  turn();
+  now += 20 * second;  // long past what is young or cold
+  turn();
+  ask(1);
+  turn();
+  REQUIRE(setUps().size() == 1);
+  const SetUp first = setUps()[0];
+  front.leaves(now, first.join);
+  front.ended(first.join, outcome, {});
+  front.leave(1);
+  orders.clear();
+  turn();
+  CHECK(setUps().empty());
+  // A join that nobody ended would keep its node shut for good: long after, both nodes take joins again.
+  now += 40 * second;
+  std::set<NodeId> used;
+  for (Line line = 2; line < 30; ++line) {
+    turn();
+    orders.clear();
+    ask(line);
+    turn();
+    for (const SetUp& one : setUps()) {
+      used.insert(one.node);
+      front.leaves(now, one.join);
+      front.began(one.join);
+      turn();
+      front.ended(one.join, Outcome::ok, {}, true);
+      turn();
+    }
+    now += second;
+  }
+  CHECK(used.size() == 2);
+}
+
 TEST_CASE("The word of a drain calls back a join that waits for its connection") {
   Stage s;
   const JoinKey waits = s.joinOut(1, "k", 0);
