--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -491,11 +491,11 @@
 }
 
 bool Nodes::settled() const {
-  for (const auto& [id, node] : nodes_) {
-    if (!node->unsaid.empty()) return false;
-    for (const auto& wire : node->wires)
-      if (wire->link.unsent()) return false;
-  }
+  for (const auto& [id, node] : nodes_)
+    for (const auto& wire : node->wires) {
+      const bool comesUp = !wire->link.isUp() && !wire->link.isDead();
+      if (wire->link.unsent() || (comesUp && !node->unsaid.empty())) return false;
+    }
   return true;
 }
 
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -55,7 +55,8 @@
   // After each turn: joins whose connection has come up.
   void writeWaiting();
   void tick(Micros now);
-  // Whether all that was to be said to nodes has been handed to the machine.
+  // Whether all that can be said to nodes has been handed to the machine; what waits for a node that takes no
+  // connection can't.
   bool settled() const;
   Figures figures() const;
 
