A tenant is over its share only beyond what chance brings to one of many directors

Cause: Desk::start held one and a half times the even part of the quota, 1.3 requests in 5 s to one of 300 directors, against a count that chance and uneven traffic carry over that.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -781,8 +781,10 @@
     const auto party = static_cast<std::size_t>(sub.viewing.party);
     Tally<10>& rate = partyRate.try_emplace(sub.viewing.party, quotaSpan).first->second;
     rate.add(now(), 1);
-    sub.overQuota = rate.sum(now()) > quotaLean * post.terms.quotaPerSecond[party] / post.terms.directors *
-                                          static_cast<double>(quotaSpan) / second;
+    const double even =
+        post.terms.quotaPerSecond[party] / post.terms.directors * static_cast<double>(quotaSpan) / second;
+    // Guards against chance that passes for excess: of hundreds of directors each sees a few of a tenant.
+    sub.overQuota = rate.sum(now()) > quotaLean * even + 2 * std::sqrt(even) + 2;
   }
   const auto it = broken.find(sub.viewing.viewer);
   sub.courtesy = sub.viewing.moved || (it != broken.end() && now() < it->second);
