A connection closed between coming up and the write is forced in a test

Two seeds of cause in one: Nodes::up wrote to whatever had come up, a FIN already behind it, and a paid set-up ended as one that may have run.

--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -103,6 +103,24 @@
   settle(other);
 }
 
+TEST_CASE("A connection that came up and was closed again before the write costs a paid set-up nothing") {
+  Rig rig(1, 1024, slowConnect);
+  Talk viewer = proven(rig);
+  Shy node(rig.nodes[0]);
+  const std::string call = rig.freshCall();
+  Message paid = offer(call, "paid", 15'000);
+  viewer.say(paid);
+  settle(viewer);
+  {
+    const Stopped stopped(rig);
+    node.open();
+    rig.nodes[0].take().drop();  // the director's, once the machine has tried again
+  }
+  Arrived at = arrive(rig, call);
+  at.talk.say(accepted(call));
+  viewer.need(Op::accept, call);
+}
+
 TEST_CASE("What stands at nodes outlives a list that lost them, once it is whole again") {
   Rig rig(3);
   Talk viewer = proven(rig);
