Imitations of what plays are turned away: late at set-ups, and ids that stand under another text

Ruled out: connections taken back or split, all had a word. Lines: Viewers::offered took at for adopting at any time, and passed over a known id without looking at its text. The build of before fails the test twice.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -136,6 +136,7 @@
       reply.op = Op::tested;
       reply.call = message.call;
       reply.why = ear_.ready() ? cause::passed : 0;
+      if (reply.why == cause::passed && adoptsUntil_ == 0) adoptsUntil_ = net::unixNow() + bounds_.adopting;
       peer.link.say(reply);
       return;
     }
@@ -182,11 +183,14 @@
   const bool adopting = !node.empty();
   const auto known = calls_.find(message.call);
   if (known != calls_.end()) {
-    if (adopting && known->second->call.answered) return;  // named again at a start
+    if (adopting && known->second->call.answered) return named(peer, *known->second, message);
     // The id of another's request. On the same connection an answer would pass for that to the first.
     if (known->second->peer == &peer) return drop(peer);
     return useless(peer, message.call);
   }
+  // Guards against imitations of what plays: each would take a seat and a place at its node for good, since
+  // nobody ever ends what no node knows.
+  if (adopting && adoptsUntil_ != 0 && net::unixNow() > adoptsUntil_) return useless(peer, message.call);
   if (!adopting && peer.open.size() >= bounds_.openPerConnection) {
     ++figures_.floods;
     Message reply;
@@ -213,6 +217,16 @@
     ear_.asked(held.call, std::move(ask));
 }
 
+// What stands is named once more. Another description or title under its id is not its viewer's, and gets no
+// word, which could pass for the end of the first; its connection goes, unless it carries something.
+void Viewers::named(Peer& peer, const Held& known, const Message& message) {
+  const bool same = *message.find("class") == known.call.room && *message.find("key") == known.call.title &&
+                    *message.desc == known.call.desc;
+  if (same) return proved(peer);
+  ++figures_.useless;
+  if (peer.open.empty() && peer.standing.empty()) drop(peer);
+}
+
 // The numbers of a set-up within what they can mean; the rest is refused whole.
 bool Viewers::read(const Message& message, session::Ask& ask, std::string& node) const {
   const std::string* room = message.find("class");
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -40,6 +40,9 @@
     std::size_t openPerConnection = 32;
     Micros silent = 2'300'000;  // a connection that has brought nothing of use is closed then
     Micros idle = 8'000'000;    // one that has, and carries nothing any more
+    // What plays at a start is named as soon as the first test is passed; this much later nothing is taken
+    // on.
+    Micros adopting = 2'000'000;
   };
   struct Figures {
     std::uint64_t accepted = 0, turnedAway = 0, useless = 0, unreadable = 0, floods = 0, saidAgain = 0;
@@ -70,6 +73,7 @@
   void offered(Peer& peer, const jsonl::Message& message);
   bool read(const jsonl::Message& message, session::Ask& ask, std::string& node) const;
   void useless(Peer& peer, const std::string& call);
+  void named(Peer& peer, const Held& known, const jsonl::Message& message);
   void down(Peer& peer);
   void drop(Peer& peer);
   struct Release {
@@ -95,6 +99,7 @@
   std::vector<std::unique_ptr<Peer>> dead_;
   std::map<std::string, std::unique_ptr<Held>> calls_;
   std::map<session::Line, Held*> lines_;
+  Micros adoptsUntil_ = 0;      // 0: no test has been passed yet
   std::deque<Release> unsaid_;  // for which no connection was there
   Figures figures_;
 };
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -185,6 +185,33 @@
   CHECK(!silent.hear(200));
 }
 
+TEST_CASE("An imitation of what plays is turned away, and what plays goes on") {
+  Rig rig(1);
+  Talk viewer = proven(rig);
+  const std::string call = rig.freshCall();
+  Message plays = offer(call);
+  plays.with["extras"] += ";at:s-0";
+  viewer.say(plays);
+  Talk node = rig.nodes[0].take();  // a connection is kept for its release
+  Talk other = rig.viewer();
+  Message same = plays;
+  same.desc = "another";
+  other.say(same);
+  CHECK(other.closes(1'000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'200));  // the time in which a start's are named
+  Talk late = rig.viewer();
+  Message fresh = plays;
+  fresh.call = rig.freshCall();
+  late.say(fresh);
+  const auto end = late.hear(1'000);
+  REQUIRE(end);
+  CHECK(end->op == Op::end);
+  CHECK(end->call == fresh.call);
+  viewer.say(plays);  // named again by its own viewer: nothing comes of it
+  node.say(word(Op::end, call, 16));
+  CHECK(viewer.need(Op::end, call).why == 16);
+}
+
 TEST_CASE("SIGTERM at each state of a request: all of it is answered, and nothing owed is left behind") {
   Rig rig(2, 1024, slowConnect);
   Talk viewer = proven(rig);
