A standstill at the start does not shut out what plays

The two seconds in which a start's set-ups with at are taken were of the clock: a process that stood still for longer right after its first passed test read them too late and turned them away, and their ends were never told. They are of the process's own time now, a standstill counts 0.1 s. The test (stopped 2.5 s) fails without it and passes with it.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Micros toldWithin = 8'000'000;    // the protocol's: a release is of no use to anybody later
+constexpr Micros stoodStill = 100'000;      // between two ticks, at most, it was this process's own time
 constexpr std::size_t unsaidMost = 10'000;  // releases that wait for a connection
 
 }  // namespace
@@ -44,7 +45,13 @@
 
 Viewers::Viewers(event_base* base, Ear& ear, const std::string& host, int port, const terms::Names& names,
                  const Terms& terms, Bounds bounds)
-    : base_(base), ear_(ear), names_(names), terms_(terms), bounds_(bounds), comeBack_(terms) {
+    : base_(base),
+      ear_(ear),
+      names_(names),
+      terms_(terms),
+      bounds_(bounds),
+      comeBack_(terms),
+      adoptsFor_(bounds.adopting) {
   listener_ = net::listenOn(base, host, port, onAccept, this);
 }
 Viewers::~Viewers() = default;
@@ -112,6 +119,8 @@
 
 void Viewers::tick(Micros now) {
   dead_.clear();
+  if (passed_) adoptsFor_ -= std::min(now - tickedAt_, stoodStill);
+  tickedAt_ = now;
   const auto useless = [&](const Release& release) { return now - release.since > toldWithin; };
   std::erase_if(unsaid_, useless);
   for (auto& [id, peer] : peers_)
@@ -136,7 +145,7 @@
       reply.op = Op::tested;
       reply.call = message.call;
       reply.why = ear_.ready() ? cause::passed : 0;
-      if (reply.why == cause::passed && adoptsUntil_ == 0) adoptsUntil_ = net::unixNow() + bounds_.adopting;
+      passed_ = passed_ || reply.why == cause::passed;
       peer.link.say(reply);
       return;
     }
@@ -190,7 +199,7 @@
   }
   // Guards against imitations of what plays: each would take a seat and a place at its node for good, since
   // nobody ever ends what no node knows.
-  if (adopting && adoptsUntil_ != 0 && net::unixNow() > adoptsUntil_) return useless(peer, message.call);
+  if (adopting && adoptsFor_ <= 0) return useless(peer, message.call);
   if (!adopting && peer.open.size() >= bounds_.openPerConnection) {
     ++figures_.floods;
     Message reply;
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -40,8 +40,9 @@
     std::size_t openPerConnection = 32;
     Micros silent = 2'300'000;  // a connection that has brought nothing of use is closed then
     Micros idle = 8'000'000;    // one that has, and carries nothing any more
-    // What plays at a start is named as soon as the first test is passed; this much later nothing is taken
-    // on.
+    // What plays at a start is named as soon as the first test is passed; nothing is taken on after so much
+    // of this process's own time, of which a standstill is no part: what was sent then still lies in the
+    // sockets.
     Micros adopting = 2'000'000;
   };
   struct Figures {
@@ -99,7 +100,9 @@
   std::vector<std::unique_ptr<Peer>> dead_;
   std::map<std::string, std::unique_ptr<Held>> calls_;
   std::map<session::Line, Held*> lines_;
-  Micros adoptsUntil_ = 0;      // 0: no test has been passed yet
+  bool passed_ = false;  // a test
+  Micros adoptsFor_ = 0;
+  Micros tickedAt_ = 0;
   std::deque<Release> unsaid_;  // for which no connection was there
   Figures figures_;
 };
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -212,6 +212,22 @@
   CHECK(viewer.need(Op::end, call).why == 16);
 }
 
+TEST_CASE("What plays at a start is taken on though the process stood still as it was named") {
+  Rig rig(1);
+  Talk viewer = proven(rig);
+  const std::string call = rig.freshCall();
+  {
+    const Stopped stopped(rig);
+    Message plays = offer(call);
+    plays.with["extras"] += ";at:s-0";
+    viewer.say(plays);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+  }
+  Talk node = rig.nodes[0].take();
+  node.say(word(Op::end, call, 16));
+  CHECK(viewer.need(Op::end, call).why == 16);
+}
+
 TEST_CASE("SIGTERM at each state of a request: all of it is answered, and nothing owed is left behind") {
   Rig rig(2, 1024, slowConnect);
   Talk viewer = proven(rig);
