--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -103,6 +103,42 @@
   settle(other);
 }
 
+TEST_CASE("A viewer that goes while its join is out or stands: its node hears of it, and no other one does") {
+  const bool cancelling = GENERATE(true, false), closes = GENERATE(true, false);
+  CAPTURE(cancelling, closes);
+  Rig rig(2, 1024, [&](Json& all) { all["settings"]["limits"]["cancelling"] = cancelling; });
+  Talk other = proven(rig);
+  Talk viewer = rig.viewer();
+  const std::string call = rig.freshCall();
+  viewer.say(offer(call));
+  Arrived at = arrive(rig, call);
+  const auto goes = [&] {
+    if (closes)
+      viewer.drop();
+    else
+      viewer.say(word(Op::end, call, 16));
+    settle(other);
+  };
+  SECTION("out, and then it begins") {
+    goes();
+    if (!cancelling) at.talk.say(accepted(call));
+    CHECK(at.talk.need(Op::end, call).why == 16);
+  }
+  SECTION("out, and then it is refused") {
+    goes();
+    at.talk.say(word(Op::end, call, 34));
+  }
+  SECTION("it stands") {
+    at.talk.say(accepted(call));
+    viewer.need(Op::accept, call);
+    goes();
+    // What stands belongs to no connection: only a word ends it.
+    if (closes) CHECK(!at.talk.hear(100));
+    if (!closes) CHECK(at.talk.need(Op::end, call).why == 16);
+  }
+  CHECK(!offered(rig.nodes[1 - at.node], 300));
+}
+
 TEST_CASE("A connection that came up and was closed again before the write costs a paid set-up nothing") {
   Rig rig(1, 1024, slowConnect);
   Talk viewer = proven(rig);
