--- a/review/stand_in/platform.h
+++ b/review/stand_in/platform.h
@@ -268,7 +268,14 @@
       lines.push_back(std::make_unique<Line>(
           world, accepted, [this](Line& line, Message& message) { hear(line, message); },
           [this](Line& line) { lost(line); }));
-      if (connected) connected(*lines.back());
+      for (const auto& [call, why] : std::exchange(owed, {})) {
+        Message message;
+        message.op = Op::end;
+        message.call = call;
+        message.reasonCode = why;
+        world.record(name + " releases " + call + " with " + std::to_string(why) + " on the new connection");
+        lines.back()->send(message);
+      }
     });
   }
   int port() const { return portOf(fd); }
@@ -339,6 +346,13 @@
     sessions.erase(it);
     return true;
   }
+  // As release(), and as the protocol page has it also on the next connection opened; without an open
+  // connection on that one alone.
+  void end(const std::string& call, int why) {
+    owed.emplace_back(call, why);
+    release(call, why);
+    sessions.erase(call);
+  }
   World& world;
   std::string name;
   int cell;
@@ -347,7 +361,7 @@
   std::vector<std::unique_ptr<Line>> lines;
   std::map<std::string, Session> sessions;
   std::function<void(MediaNode&, const std::string& call)> offered;
-  std::function<void(Line&)> connected;
+  std::vector<std::pair<std::string, int>> owed;  // releases to be sent on the next connection opened
 };
 
 // Answers each query with the list of the moment at which the answer is sent.
