--- a/review/stand_in/platform.h
+++ b/review/stand_in/platform.h
@@ -195,9 +195,26 @@
     world_.watch(fd_, [this] { accept(); });
   }
   int port() const { return portOf(fd_); }
+  // A cut link carries nothing, and no connection comes up over it: the kernel drops what asks for one, since
+  // the queue of the listener is kept full.
   void cut(bool on) {
     cut_ = on;
-    if (on) return;
+    if (on) {
+      world_.forget(fd_);
+      listen(fd_, 0);
+      for (int i = 0; i < 3; ++i) {
+        fillers_.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        setNonBlocking(fillers_.back());
+        const sockaddr_in address = loopback(port());
+        connect(fillers_.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+      }
+      return;
+    }
+    for (const int fd : std::exchange(fillers_, {})) close(fd);
+    for (int fd = 0; fd >= 0;)
+      if ((fd = ::accept(fd_, nullptr, nullptr)) >= 0) close(fd);
+    listen(fd_, 128);
+    world_.watch(fd_, [this] { accept(); });
     for (const auto& pipe : pipes_) flush(*pipe);
   }
 
@@ -245,6 +262,7 @@
   int nodePort_;
   int fd_;
   bool cut_ = false;
+  std::vector<int> fillers_;
   std::vector<std::unique_ptr<Pipe>> pipes_;
 };
 
