A join that ends in the pass that reads its answer is answered with the node's description

Cause: the description was kept in platform::Director::descriptions_, beside the front's queue of events. Director::joinEnded erased it when the end was read; the front answers in its next turn, and execute() then read the map with operator[]. Ruled out: the codec (the description is read whole), the node's connection, the order of the commands. Change: Front::joinStarted takes the answer and Playing carries it, so that both pass through one queue. The two maps of the director are gone. The front drops its copy at the first answer unless the request has a key by which a repeat can ask for it again. Why it works: the content of an answer can no longer be lost or overwritten between the event and its turn, whatever other event is read in between. Session and platform tests pass under the sanitizers.

--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -10,7 +10,6 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
-#include <map>
 #include <utility>
 
 #include "director/log.h"
@@ -59,12 +58,13 @@
  private:
   void onRequest(Call& call, session::PlayRequest request) override;
   void onAdopted(Call& call, session::PlayRequest request, const std::string& node) override;
-  void onLeave(const Call& call) override { front_.leave(call.callId), joinsByCall_.erase(call.callId); }
+  void onLeave(const Call& call) override { front_.leave(call.callId); }
   bool isReady() override { return !stopping_ && !membership_.endpoints().empty(); }
   bool mayWrite(session::JoinId join) override { return front_.mayWrite(net::unixNow(), join); }
-  void joinStarted(session::JoinId join, const std::string& description) override;
+  void joinStarted(session::JoinId join, const std::string& description) override {
+    front_.joinStarted(join, description);
+  }
   void joinEnded(session::JoinId join, Outcome outcome, const LoadReport& report, bool finished) override {
-    descriptions_.erase(join);
     front_.joinEnded(join, outcome, report, finished);
   }
   void measured(session::JoinId join, MeasurementKind kind, double value) override {
@@ -110,8 +110,6 @@
     }
   } resolverSocket_;
   fleet::NodeIdRegistry nodeIds_;
-  std::map<session::JoinId, std::string> descriptions_;  // of started joins, until the answer is sent
-  std::map<session::CallId, session::JoinId> joinsByCall_;
   std::vector<session::Command> commands_;
   Micros lastHousekeeping_ = 0;
   Micros lastStatistics_ = 0;
@@ -253,36 +251,24 @@
   nodes_.adopt(join, *endpoint, call);
 }
 
-void Director::joinStarted(session::JoinId join, const std::string& description) {
-  descriptions_[join] = description;
-  front_.joinStarted(join);
-}
-
 void Director::execute(const session::Command& command) {
   if (const auto* playing = std::get_if<session::Playing>(&command)) {
-    const auto join = joinsByCall_.find(playing->callId);
-    if (join != joinsByCall_.end()) viewers_->playing(playing->callId, descriptions_[join->second]);
-    if (join != joinsByCall_.end()) descriptions_.erase(join->second);
+    viewers_->playing(playing->callId, playing->answer);
   } else if (const auto* throttled = std::get_if<session::Throttled>(&command)) {
     viewers_->throttled(throttled->callId, throttled->retryAfter);
-    joinsByCall_.erase(throttled->callId);
   } else if (const auto* terminated = std::get_if<session::Terminated>(&command)) {
     viewers_->terminated(terminated->callId);
-    joinsByCall_.erase(terminated->callId);
   } else if (const auto* end = std::get_if<session::Ended>(&command)) {
     viewers_->ended(end->callId, end->reason == session::EndReason::finished);
-    joinsByCall_.erase(end->callId);
   } else if (const auto* setUp = std::get_if<session::SetUp>(&command)) {
     const fleet::NodeEndpoint* endpoint = membership_.find(setUp->node);
     const Call* call = viewers_->find(setUp->callId);
     if (call == nullptr) return front_.joinEnded(setUp->join, Outcome::notSent, {}, false);
     if (endpoint == nullptr) return front_.joinEnded(setUp->join, Outcome::connectFailed, {}, false);
-    joinsByCall_[setUp->callId] = setUp->join;
     nodes_.setUp(*setUp, *endpoint, *call);
   } else if (const auto* change = std::get_if<session::ChangeRung>(&command)) {
     nodes_.changeRung(*change);
   } else if (const auto* down = std::get_if<session::TearDown>(&command)) {
-    descriptions_.erase(down->join);
     nodes_.tearDown(down->join);
   } else if (const auto* withdraw = std::get_if<session::Withdraw>(&command)) {
     nodes_.withdraw(withdraw->join);
--- a/src/session/front.cpp
+++ b/src/session/front.cpp
@@ -73,7 +73,9 @@
 void Front::submit(PlayRequest request) { inboundEvents_.push_back(InboundRequest{std::move(request)}); }
 void Front::leave(CallId callId) { inboundEvents_.push_back(InboundLeave{callId, false}); }
 void Front::closed(CallId callId) { inboundEvents_.push_back(InboundLeave{callId, true}); }
-void Front::joinStarted(JoinId join) { inboundEvents_.push_back(InboundJoinStart{join}); }
+void Front::joinStarted(JoinId join, std::string answer) {
+  inboundEvents_.push_back(InboundJoinStart{join, std::move(answer)});
+}
 void Front::drain(bool on) { draining_ = on; }
 void Front::setAnswerDeadline(Micros deadline) {
   answerDeadline_ = deadline;
@@ -400,6 +402,7 @@
   if (!subscription.answered && now_ >= subscription.deadline + limits_.answerMargin / 2)
     return timeOutJoin(*attempt);
   attempt->started = true;
+  attempt->answer = std::move(inbound.answer);
   ++statistics_.plays;
   joinDeadlines_.erase({attempt->deadline, attempt->id});
   deadlines_.erase({subscription.deadline, subscription.id});
@@ -561,8 +564,11 @@
     if (call.answered) continue;
     call.answered = true;
     ++statistics_.playing;
-    commands_->push_back(Playing{call.id, subscription.id, subscription.attempt->node, subscription.rung});
+    commands_->push_back(Playing{call.id, subscription.id, subscription.attempt->node, subscription.rung,
+                                 subscription.attempt->answer});
   }
+  // Only a request with the same key can still ask for the answer.
+  if (subscription.request.idempotencyKey.empty()) std::string().swap(subscription.attempt->answer);
 }
 
 void Front::answerThrottled(Subscription& subscription, Micros retryAfter, ThrottleReason reason) {
--- a/src/session/front.h
+++ b/src/session/front.h
@@ -109,6 +109,7 @@
   SubscriptionId sub;
   NodeId node;
   int rung;
+  std::string answer;  // as given to Front::joinStarted()
 };
 // The request is rejected and may be sent again.
 struct Throttled {
@@ -208,8 +209,9 @@
   // the transport must write the join, which counts as possibly run from then on. If false, the transport
   // must not write it and must report it as ended with Outcome::notSent.
   bool mayWrite(Micros now, JoinId join);
-  // The media node has confirmed that the join plays.
-  void joinStarted(JoinId join);
+  // The media node has confirmed that the join plays. `answer`: what the transport has to pass on to the
+  // player with Playing, such as the node's description of the session.
+  void joinStarted(JoinId join, std::string answer = {});
   // `finished`: a join that was playing has reached its regular end.
   void joinEnded(JoinId join, Outcome outcome, const LoadReport& report, bool finished = false);
   // A measurement of a playing join was reported.
@@ -264,6 +266,7 @@
     bool started = false;          // the node has confirmed that it plays
     bool countedByGuards = false;  // holds a seat in the guards
     Micros deadline = 0;
+    std::string answer;  // of a started join; empty once no further request can ask for it
   };
   // One request that waits for the subscription or watches it.
   struct Call {
@@ -311,6 +314,7 @@
   };
   struct InboundJoinStart {
     JoinId join;
+    std::string answer;
   };
   using InboundEvent = std::variant<InboundRequest, InboundAdoption, InboundLeave, InboundControlEvent,
                                     InboundJoinEnd, InboundJoinStart>;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -153,6 +153,28 @@
   CHECK(harness.front.statistics().plays == 0);
 }
 
+// Guards against an answer without its content: the content was kept beside the front and dropped at the
+// join's end.
+TEST_CASE("Playing carries the join's answer, also where the join ends in the same turn and to a repeat") {
+  FrontHarness harness;
+  const JoinId join = harness.startJoin(1, "k", 1);
+  harness.front.mayWrite(harness.now, join);
+  harness.front.joinStarted(join, "description");
+  SECTION("the join ends in the same turn") {
+    const Outcome outcome = GENERATE(Outcome::ok, Outcome::reset, Outcome::cancelled);
+    harness.front.joinEnded(join, outcome, {}, outcome == Outcome::ok);
+    harness.turn();
+    REQUIRE(harness.only<Ended>() != nullptr);
+  }
+  SECTION("a request with the same key comes later") {
+    harness.turn();
+    harness.submit(2, "k", 1);
+    harness.turn();
+  }
+  REQUIRE(harness.only<Playing>() != nullptr);
+  CHECK(harness.only<Playing>()->answer == "description");
+}
+
 TEST_CASE("A request for which the decider never decides is answered by the front at its deadline") {
   FrontHarness harness;
   harness.submit(1, "k", 0);
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -146,15 +146,23 @@
   }
 };
 
-// Answers every query with the current list, in a thread of its own; ignores queries while `silent`.
+// Answers every query after `delayMilliseconds` with the list of the moment at which the answer is sent, in a
+// thread of its own; ignores queries while `silent`.
 struct StubNameServer {
+  struct DelayedAnswer {
+    Clock::time_point due;
+    std::uint16_t queryId;
+    sockaddr_in to;
+  };
   int fd;
   std::mutex mutex;
   std::uint32_t serial = 1;
   std::vector<NodeRow> rows;
+  std::vector<DelayedAnswer> delayedAnswers;  // used by the thread alone
   std::atomic<int> queryCount{0};
   std::atomic<bool> stop{false};
   std::atomic<bool> silent{false};
+  std::atomic<int> delayMilliseconds{0};
   std::thread thread;
   explicit StubNameServer(std::vector<NodeRow> list)
       : fd(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0)), rows(std::move(list)) {
@@ -175,20 +183,29 @@
   }
   void loop() {
     while (!stop) {
+      sendDueAnswers();
       pollfd p{fd, POLLIN, 0};
-      if (poll(&p, 1, 20) <= 0) continue;
+      if (poll(&p, 1, delayedAnswers.empty() ? 20 : 2) <= 0) continue;
       unsigned char buffer[512];
       sockaddr_in from{};
       socklen_t size = sizeof from;
       if (recvfrom(fd, buffer, sizeof buffer, 0, reinterpret_cast<sockaddr*>(&from), &size) < 12) continue;
       ++queryCount;
       if (silent) continue;
-      const std::lock_guard lock(mutex);
       const auto queryId = static_cast<std::uint16_t>(buffer[0] << 8 | buffer[1]);
-      const std::string answer = DnsWriter::answer(queryId, serial, rows);
-      sendto(fd, answer.data(), answer.size(), 0, reinterpret_cast<sockaddr*>(&from), size);
+      delayedAnswers.push_back({Clock::now() + std::chrono::milliseconds(delayMilliseconds), queryId, from});
     }
   }
+  void sendDueAnswers() {
+    const std::lock_guard lock(mutex);
+    std::erase_if(delayedAnswers, [this](const DelayedAnswer& delayed) {
+      if (delayed.due > Clock::now()) return false;
+      const std::string answer = DnsWriter::answer(delayed.queryId, serial, rows);
+      sendto(fd, answer.data(), answer.size(), 0, reinterpret_cast<const sockaddr*>(&delayed.to),
+             sizeof delayed.to);
+      return true;
+    });
+  }
 };
 
 // Starts the process with its configuration file and ends it. `socketLimit`: descriptors that the process may
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -254,6 +254,26 @@
   CHECK(viewer.expect(Op::end, call).reasonCode == 16);
 }
 
+// Guards against an accept with an empty description: the description was dropped as soon as the join ended.
+TEST_CASE("A join that ends in the pass that reads its answer is answered with the node's description") {
+  TestHarness harness(1);
+  TestConnection viewer = verifiedViewer(harness);
+  const std::string call = harness.newCallId();
+  viewer.send(makeOffer(call));
+  ReceivedOffer received = awaitOffer(harness, call);
+  const int reasonCode = GENERATE(16, 41);
+  CAPTURE(reasonCode);
+  {
+    const PausedProcess paused(harness);
+    received.connection.send(makeAccept(call));
+    received.connection.send(makeMessage(Op::end, call, reasonCode));
+  }
+  const Message accept = viewer.expect(Op::accept, call);
+  REQUIRE(accept.description);
+  CHECK(*accept.description == *makeAccept(call).description);
+  CHECK(viewer.expect(Op::end, call).reasonCode == reasonCode);
+}
+
 TEST_CASE("A running subscription is adopted although the process stalled when it was reported") {
   TestHarness harness(1);
   TestConnection viewer = verifiedViewer(harness);
