An answer names the node that plays the join, also when the node has left the list

Seen by callers: "playing" with an empty node and a ticket for no node, when the node left the list while its join was under way, or when a key was repeated after that. Cause: director::Director::execute looked up the address in the membership when it sent the answer, as the description was looked up beside the front on the operators' platform. Ruled out: a list held back (the log shows version 2 applied before the node answered). Change: media::Nodes reports the address with the start of a join; the front carries it to Playing. The decisions are untouched.

--- a/src/director/director.cpp
+++ b/src/director/director.cpp
@@ -59,7 +59,7 @@
   void onLeave(session::CallId callId) override { front_.leave(callId), pendingRequests_.erase(callId); }
   void onClosed(session::CallId callId) override { front_.closed(callId), pendingRequests_.erase(callId); }
   bool mayWrite(session::JoinId join) override { return front_.mayWrite(net::monotonicNow(), join); }
-  void joinStarted(session::JoinId join) override;
+  void joinStarted(session::JoinId join, const std::string& address) override;
   void joinEnded(session::JoinId join, Outcome outcome, const LoadReport& report, bool finished) override {
     front_.joinEnded(join, outcome, report, finished);
   }
@@ -448,10 +448,10 @@
   return true;
 }
 
-void Director::joinStarted(session::JoinId join) {
+void Director::joinStarted(session::JoinId join, const std::string& address) {
   if (const auto it = joinTitles_.find(join); it != joinTitles_.end())
     options_.hooks.onFaultPoint(FaultPoint::joinStarted, it->second);
-  front_.joinStarted(join);
+  front_.joinStarted(join, address);
 }
 
 void Director::sendAnswer(session::CallId callId, const session_api::AnswerMessage& message) {
@@ -485,11 +485,10 @@
   using session_api::AnswerKind;
   using session_api::AnswerMessage;
   if (const auto* playing = std::get_if<session::Playing>(&command)) {
-    const fleet::NodeEndpoint* endpoint = membership_.find(playing->node);
     AnswerMessage message;
     message.kind = AnswerKind::playing;
     message.subscription = runId_ + "-" + std::to_string(playing->sub);
-    message.node = endpoint == nullptr ? "" : endpoint->host + ":" + std::to_string(endpoint->port);
+    message.node = playing->answer;
     message.rung = playing->rung;
     message.ticket =
         ticket::sign(ticketKeys_.front(), {message.subscription, message.node, playing->rung,
--- a/src/media/nodes.cpp
+++ b/src/media/nodes.cpp
@@ -361,7 +361,7 @@
     return;
   }
   join.started = true;
-  handler_.joinStarted(request.joinId);
+  handler_.joinStarted(request.joinId, connection.address());
   reportMeasurements(request.joinId, orca);
 }
 
--- a/src/media/nodes.h
+++ b/src/media/nodes.h
@@ -41,8 +41,8 @@
     virtual ~Handler() = default;
     // Called just before a join is written. If it returns false, the join ends with Outcome::notSent.
     virtual bool mayWrite(session::JoinId join) = 0;
-    // The node accepted PLAY.
-    virtual void joinStarted(session::JoinId join) = 0;
+    // The node at `address` (host:port) accepted PLAY.
+    virtual void joinStarted(session::JoinId join, const std::string& address) = 0;
     // `report` is the load report that came with the last response, empty if there was none. `finished` is
     // true if the node reported the end of the stream.
     virtual void joinEnded(session::JoinId join, Outcome outcome, const LoadReport& report,
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -308,6 +308,26 @@
   CHECK(node.next().status == 200);
 }
 
+// Guards against a Playing answer without a node: the address was looked up in the list when the answer was
+// sent.
+TEST_CASE("A join whose node leaves the list before its answer is answered with the node's address") {
+  Node node;
+  const std::string other = R"(<node id="2" address="127.0.0.1:1" kind="two-core" zone="north" cell="0"/>)";
+  Director d(node.entry() + other);
+  RawClient player(d.players);
+  player.openWebSocket();
+  player.send(RawClient::frame(playRequest("a", "paid-class")));
+  const media::Message setUp = node.next(), play = node.next();
+  d.writeNodeList(2, other);
+  for (int i = 0; i < 100 && !contains(d.log(), "version=2"); ++i) sleepMs(50);
+  REQUIRE(contains(d.log(), "version=2"));
+  node.answer(setUp, 200, "s1");
+  node.answer(play, 200, "s1");
+  const std::string answer = player.read([](const std::string& s) { return contains(s, "ticket"); });
+  CHECK(contains(answer, "playing"));
+  CHECK(contains(answer, "127.0.0.1:" + std::to_string(node.port)));
+}
+
 TEST_CASE("Invalid bytes from a node end its connection, and a paid join on it counts as possibly run") {
   Node node;
   Director d(node.entry());
