An answer to a list query matches however slow the name server is

Cause: fleet/list_poller.cpp repeated a query after 120 ms and remembered the last eight ids, so an answer that took longer came under an id that had been overwritten. Ruled out: loss, malformed answers, the version check of Membership. Change: outstanding queries are kept for 30 s (an outage lasts up to 25 s; 30 s is where Membership takes older lists for a restart of the source, so late answers can't be mistaken for one). While answers take longer than the retry interval, queries go on at the poll interval without waiting for earlier answers. A slow server gets 3.3 queries a second instead of 8.3.

--- a/src/fleet/list_poller.h
+++ b/src/fleet/list_poller.h
@@ -1,14 +1,16 @@
 // Schedules queries for the node list to a name server and matches answers to outstanding queries.
 //
 // It handles answers that are lost, late, duplicated, truncated, under an unknown query id, a failure or an
-// older list, and a server that is silent for a while. Polls are jittered so that many directors do not query
-// the server at the same moments. fleet/membership.h interprets the list and judges its version.
+// older list, and a server that is silent for a while. While the server takes long to answer, queries go on
+// at the usual interval without waiting for earlier answers, so that changes are heard no later than the
+// server sends them. Polls are jittered so that many directors do not query the server at the same moments.
+// fleet/membership.h interprets the list and judges its version.
 //
 // No I/O and no clock: times are microseconds on the caller's clock.
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <deque>
 #include <random>
 
 #include "control.h"
@@ -30,14 +32,22 @@
   void serverMoved(Micros now);
   // Returns whether `queryId` belongs to an outstanding query, which is outstanding no longer after that.
   // Each id matches once.
-  bool matchAnswer(std::uint16_t queryId);
+  bool matchAnswer(Micros now, std::uint16_t queryId);
   // Reports a complete, successful answer whose list is not older than the known one.
   void answered(Micros now);
 
  private:
+  struct OutstandingQuery {
+    std::uint16_t id = 0;
+    Micros sentAt = 0;
+  };
+  Micros nextPollInterval();
+  // Whether the last matched answer took longer than a lost one is waited for.
+  bool serverIsSlow() const;
+
   std::minstd_rand random_;
-  std::array<std::uint32_t, 8> outstanding_{};  // ring of query ids with `inUse` set; 0: free slot
-  std::size_t nextSlot_ = 0;                    // modulo the size of the ring
+  std::deque<OutstandingQuery> outstanding_;  // in the order of sending
+  Micros lastAnswerDelay_ = 0;                // from query to answer
   Micros due_ = 0;
 };
 
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// How long a source must deliver only older versions to count as restarted. Its protocol allows at most 4.5 s
-// without a list, so answers delayed by several times that are ruled out.
+// How long a source must deliver only older versions to count as restarted. Lists that are merely delayed are
+// ruled out: ListPoller matches no answer that took longer.
 constexpr Micros sourceRestartDelay = 30'000'000;
 
 }  // namespace
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -109,6 +109,12 @@
       fd = newFd;
     }
   } resolverSocket_;
+  // Counters since start.
+  struct ListStatistics {
+    std::uint64_t queries = 0;
+    std::uint64_t matchedAnswers = 0;
+    std::uint64_t ignoredAnswers = 0;  // malformed, a failure, or to no outstanding query
+  } listStatistics_;
   fleet::NodeIdRegistry nodeIds_;
   std::vector<session::Command> commands_;
   Micros lastHousekeeping_ = 0;
@@ -219,6 +225,7 @@
 void Director::queryList(Micros now) {
   if (now < listPoller_.due()) return;
   const std::string query = discovery::buildQuery(listPoller_.nextQuery(now), serviceName);
+  ++listStatistics_.queries;
   // A query that cannot be sent is repeated by the poller like one that was lost.
   if (send(resolverSocket_.fd, query.data(), query.size(), MSG_DONTWAIT) < 0) return;
 }
@@ -229,8 +236,12 @@
     const ssize_t size = recv(resolverSocket_.fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
     if (size < 0) return;
     const auto answer = discovery::parseAnswer({bytes.data(), static_cast<std::size_t>(size)}, serviceName);
-    if (!answer || !listPoller_.matchAnswer(answer->queryId)) continue;
     const Micros now = net::unixNow();
+    if (!answer || !listPoller_.matchAnswer(now, answer->queryId)) {
+      ++listStatistics_.ignoredAnswers;
+      continue;
+    }
+    ++listStatistics_.matchedAnswers;
     ListUpdate update;
     const fleet::UpdateResult outcome =
         membership_.apply(now, makeNodeList(answer->serial, answer->nodes), update);
@@ -358,6 +369,9 @@
        {"orphans", text(nodeStatistics.releasedOrphans)},
        {"vanished", text(nodeStatistics.nodesLost)},
        {"node-joins", text(nodeStatistics.joins)},
+       {"list-queries", text(listStatistics_.queries)},
+       {"list-answers", text(listStatistics_.matchedAnswers)},
+       {"list-ignored", text(listStatistics_.ignoredAnswers)},
        {"version", text(membership_.version())}});
 }
 
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -409,6 +409,27 @@
   CHECK(viewer.expect(Op::end, last).reasonCode == 34);
 }
 
+// Guards against set-ups to a draining node: no list was heard from a server that took over 0.96 s to answer.
+TEST_CASE("A draining node gets no set-ups while the name server is slow to answer") {
+  const int delayMilliseconds = GENERATE(1'200, 2'000);
+  CAPTURE(delayMilliseconds);
+  TestHarness harness(
+      2, 1024, [](Json& configuration) { configuration["settings"]["rules"]["stopSendingWithinNs"] = 5e8; });
+  harness.nameServer->delayMilliseconds = delayMilliseconds;
+  TestConnection viewer = verifiedViewer(harness);
+  std::this_thread::sleep_for(std::chrono::milliseconds(delayMilliseconds));
+  auto rows = harness.nodeRows();
+  for (NodeRow& row : rows) row.draining = true;
+  harness.nameServer->set(2, rows);
+  // The event counts as told after 1.5 s at the latest; the grace is 0.5 s and the slack of the protocol 0.05
+  // s.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500 + 500 + 50));
+  const std::string call = harness.newCallId();
+  viewer.send(makeOffer(call));
+  CHECK(viewer.expect(Op::end, call).reasonCode == 34);
+  for (StubNode& node : harness.nodes) CHECK(!receivesOffer(node, 100));
+}
+
 TEST_CASE(
     "SIGHUP works with idle clients on every descriptor and a silent name server: the new file's list and "
     "resolver take effect") {
