A node that is cut off is not given up before a cut ends, and is sent what it has to release

Cause: LivenessCheck gave up after 4 s of silence and four failed attempts (fleet/liveness_check.cpp); and Nodes::resetEstablished dropped the joins without a release, as for a process that has ended. Change: probes begin after 1.1 s of silence; a node is unreachable once all attempts for 6.7 s went unanswered, counted from the first. A lost attempt is followed by the next at once. The count goes by attempts begun, so it holds for any connect timeout; an attempt without a join ends after 1.1 s. An unreachable node is sent the release of each session on an open connection and on the next one that comes up. The verdicts processGone and unreachable are separate. Why it works: 6.7 s from the first unanswered attempt exceed any cut of 6 s that began by then and the probes after it; with 1.1 s they stay under the 8 s in which viewers have to be told of a machine that vanished.

--- a/src/fleet/liveness_check.cpp
+++ b/src/fleet/liveness_check.cpp
@@ -3,26 +3,48 @@
 namespace lupinsill::fleet {
 namespace {
 
-constexpr Micros silenceBeforeProbe = 2'000'000;
-constexpr Micros minProbeInterval = 300'000;
+// Viewers have to be told within 8 s of the end of their subscription, and a cut lasts up to 6 s. A machine
+// may vanish right after it was last heard, and a cut may begin as late as the first attempt that fails. The
+// two times below therefore add up to less than 8 s, and the second leaves time after a cut for the next
+// probes.
+constexpr Micros silenceBeforeProbe = 1'100'000;
+constexpr Micros unansweredBeforeUnreachable = 6'700'000;  // since the first attempt that was not answered
 
-// A node without a connection is dead after this many refused attempts in a row.
-constexpr int deadAfterRefusals = 2;
+constexpr Micros minProbeInterval = 300'000;
+constexpr Micros unreachableProbeInterval = 2'000'000;
 
-// Any node is dead after this many failed attempts in a row, refused or unanswered, together with this long a
-// silence. Viewers must be told within 8 s.
-constexpr int deadAfterFailures = 4;
-constexpr Micros silenceBeforeDead = 4'000'000;
+// Single attempts fail at a healthy node as well.
+constexpr int attemptsBeforeUnreachable = 4;
+// A node without a connection has no process after this many refused attempts in a row.
+constexpr int refusalsBeforeGone = 2;
 
 }  // namespace
 
-LivenessCheck::Verdict LivenessCheck::evaluate(Micros now, bool connected, bool connecting) {
-  if (!connected && refused_ >= deadAfterRefusals) return Verdict::dead;
-  if (unanswered_ + refused_ >= deadAfterFailures && now - lastActivity_ >= silenceBeforeDead)
-    return Verdict::dead;
-  if (connecting || now - lastProbe_ < minProbeInterval) return Verdict::alive;
-  if (connected && now - lastActivity_ < silenceBeforeProbe) return Verdict::alive;
-  lastProbe_ = now;
+void LivenessCheck::recordActivity(Micros now) {
+  lastActivity_ = now;
+  wasUnreachable_ = false;
+  refusals_ = attempts_ = 0;
+}
+
+void LivenessCheck::recordConnectAttempt(Micros now) {
+  if (attempts_++ == 0) firstAttempt_ = now;
+  lastAttempt_ = now;
+}
+
+LivenessCheck::Verdict LivenessCheck::evaluate(Micros now, bool connected) {
+  if (!connected && refusals_ >= refusalsBeforeGone) return Verdict::processGone;
+  if (attempts_ >= attemptsBeforeUnreachable && now - firstAttempt_ >= unansweredBeforeUnreachable) {
+    wasUnreachable_ = true;
+    refusals_ = attempts_ = 0;
+    return Verdict::unreachable;
+  }
+  const Micros probeInterval = wasUnreachable_ ? unreachableProbeInterval : minProbeInterval;
+  if (now - lastAttempt_ < probeInterval) return Verdict::alive;
+  // An attempt without an answer is followed by the next one at once: a single one may fail at a healthy
+  // node, and a cut that begins later must not be counted from it.
+  if (connected && attempts_ == 0 && now - lastActivity_ < silenceBeforeProbe) return Verdict::alive;
+  // Also where the caller cannot open a connection: the next probe is due one interval later.
+  lastAttempt_ = now;
   return Verdict::probe;
 }
 
--- a/src/fleet/liveness_check.h
+++ b/src/fleet/liveness_check.h
@@ -1,8 +1,11 @@
-// Decides whether a media node that serves subscriptions is still alive.
+// Decides whether a media node that serves subscriptions is still there.
 //
-// When a machine vanishes or is cut off from the network, its TCP connections stay open and silent, and its
-// viewers would never be told. The check probes a silent node by opening a new connection. A node whose
-// process hangs still accepts connections, so only failed connection attempts count against a node.
+// When a machine vanishes or is cut off from the network, its TCP connections stay open and silent. The two
+// cannot be told apart at first: the subscriptions of a machine that vanished are over and their viewers have
+// to be told, whereas those of a machine that is cut off play on and must not be given up while the cut may
+// still end. The check therefore probes a silent node by opening new connections, and gives it up only once
+// none has come up for longer than a cut may last. A node whose process hangs still accepts connections, so
+// silence alone does not count against a node.
 //
 // No I/O and no clock: times are microseconds on the caller's clock.
 #pragma once
@@ -14,30 +17,32 @@
 class LivenessCheck {
  public:
   enum class Verdict {
-    alive,  // nothing to do
-    probe,  // open a new connection to the node
-    dead    // end the subscriptions at the node
+    alive,        // nothing to do
+    probe,        // open a new connection to the node
+    processGone,  // the process has ended, and the subscriptions at the node with it
+    unreachable   // give up the subscriptions at the node, which may still play there
   };
 
   explicit LivenessCheck(Micros now) : lastActivity_(now) {}
   // The node sent data, or a connection to it was established.
-  void recordActivity(Micros now) {
-    lastActivity_ = now;
-    refused_ = unanswered_ = 0;
-  }
-  // A connection attempt failed. `refused`: the machine refused it, so no process listens there any more;
-  // otherwise the attempt was not answered.
-  void recordConnectFailure(bool refused) { ++(refused ? refused_ : unanswered_); }
-  // Returns what to do now about a node that serves subscriptions. `connected`: a connection to it is
-  // established; `connecting`: an attempt is under way.
-  Verdict evaluate(Micros now, bool connected, bool connecting);
+  void recordActivity(Micros now);
+  // An attempt to open a connection begins, as a probe or for another purpose.
+  void recordConnectAttempt(Micros now);
+  // The machine refused a connection, so no process listens there any more.
+  void recordRefusal() { ++refusals_; }
+  // Returns what to do now about a node that serves subscriptions or has to be sent something. `connected`: a
+  // connection to it is established. After `unreachable` the node is probed less often, and the check starts
+  // over.
+  Verdict evaluate(Micros now, bool connected);
 
  private:
   Micros lastActivity_;
-  Micros lastProbe_ = 0;
-  // Failed attempts since the last activity.
-  int refused_ = 0;
-  int unanswered_ = 0;
+  Micros lastAttempt_ = 0;
+  bool wasUnreachable_ = false;
+  // Since the last activity, or since the node was found unreachable.
+  int refusals_ = 0;
+  int attempts_ = 0;
+  Micros firstAttempt_ = 0;  // valid if there was an attempt
 };
 
 }  // namespace lupinsill::fleet
--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -12,6 +12,17 @@
 namespace {
 
 constexpr std::size_t maxQueuedMessages = 10'000;  // per node, while none of its connections is up
+// Of an attempt for which no join waits. A connection may take up to 1 s to come up.
+constexpr Micros maxProbeDuration = 1'100'000;
+
+// The message that ends a call at its node.
+Message makeRelease(const std::string& call) {
+  Message message;
+  message.op = Op::end;
+  message.call = call;
+  message.reasonCode = reason_code::finished;
+  return message;
+}
 
 }  // namespace
 
@@ -98,6 +109,7 @@
   net::BufferEvent bufferEvent = net::connectTo(base_, node.endpoint.host, node.endpoint.port);
   if (!bufferEvent) return nullptr;
   ++connectionCount_;
+  node.liveness.recordConnectAttempt(net::unixNow());
   node.connections.push_back(std::make_unique<NodeConnection>(
       *this, node, std::move(bufferEvent),
       "node-" + std::to_string(node.endpoint.node) + "/" + std::to_string(statistics_.connects)));
@@ -197,7 +209,7 @@
   Node& node = connection.node;
   const auto awaitingConnect = std::exchange(connection.awaitingConnect, {});
   removeConnection(connection);
-  node.liveness.recordConnectFailure(refused);
+  if (refused) node.liveness.recordRefusal();
   for (Join* join : awaitingConnect) {
     const session::JoinId id = join->command.join;
     removeJoin(*join);
@@ -205,13 +217,24 @@
   }
 }
 
-// Sends on the preferred connection, or else on any other that is up. If there is none, queues the message
-// for the next connection that comes up and opens one if none is connecting.
-void Nodes::sendToNode(Node& node, const Message& message, NodeConnection* preferred) {
-  if (preferred != nullptr && preferred->stream.send(message)) return;
+// Sends on the preferred connection, or else on any other that is up. Returns false if there is none.
+bool Nodes::sendOnConnection(Node& node, const Message& message, NodeConnection* preferred) {
+  if (preferred != nullptr && preferred->stream.send(message)) return true;
   for (auto it = node.connections.rbegin(); it != node.connections.rend(); ++it)
-    if ((*it)->stream.isConnected() && (*it)->stream.send(message)) return;
+    if ((*it)->stream.isConnected() && (*it)->stream.send(message)) return true;
+  return false;
+}
+
+// The message is sent on the next connection that comes up.
+void Nodes::queueMessage(Node& node, const Message& message) {
   if (node.queuedMessages.size() < maxQueuedMessages) node.queuedMessages.push_back(message);
+}
+
+// Sends on a connection that is up. If there is none, queues the message and opens a connection if none is
+// connecting.
+void Nodes::sendToNode(Node& node, const Message& message, NodeConnection* preferred) {
+  if (sendOnConnection(node, message, preferred)) return;
+  queueMessage(node, message);
   if (std::none_of(node.connections.begin(), node.connections.end(), [](const auto& connection) {
         return !connection->stream.isConnected() && !connection->stream.isClosed();
       }))
@@ -221,11 +244,17 @@
 // Tells the node to end a call that may play there without a viewer.
 void Nodes::releaseOrphan(Node& node, const std::string& call) {
   ++statistics_.releasedOrphans;
-  Message message;
-  message.op = Op::end;
-  message.call = call;
-  message.reasonCode = reason_code::finished;
-  sendToNode(node, message);
+  sendToNode(node, makeRelease(call));
+}
+
+// As releaseOrphan(), for a node that is silent: a connection that is up carries the message only if it
+// survives, so the message is sent on the next one as well. A node ignores the end of a call it does not
+// hold.
+void Nodes::releaseAtUnreachable(Node& node, const std::string& call) {
+  ++statistics_.releasedOrphans;
+  const Message message = makeRelease(call);
+  sendOnConnection(node, message, nullptr);
+  queueMessage(node, message);
 }
 
 // ---- commands ----
@@ -336,11 +365,7 @@
   const std::string call = join->call.id;
   removeJoin(*join);
   if (!written) return;
-  Message message;
-  message.op = Op::end;
-  message.call = call;
-  message.reasonCode = reason_code::finished;
-  sendToNode(node, message, connection);
+  sendToNode(node, makeRelease(call), connection);
   // The join was never answered. If its answer was garbled, nothing after it on this connection can be
   // parsed, so the connection takes no new offers.
   if (!started && connection != nullptr) {
@@ -451,14 +476,18 @@
 
 // ---- lost and replaced nodes ----
 
-// Ends all joins of the node that started before the given time, as reset.
-void Nodes::resetEstablished(Node& node, Micros before) {
+// Ends all joins of the node that started before the given time, as reset. Their subscriptions are released
+// at the node unless they have certainly ended there: their viewers are told that they are over, and their
+// seats are given to others.
+void Nodes::resetEstablished(Node& node, Micros before, RemoteState remoteState) {
   std::vector<Join*> ended;
   for (const auto& [call, join] : node.joins)
     if (join->started && join->startedAt < before) ended.push_back(join);
   for (Join* join : ended) {
     const session::JoinId id = join->command.join;
+    const std::string call = join->call.id;
     removeJoin(*join);
+    if (remoteState == RemoteState::mayPlayOn) releaseAtUnreachable(node, call);
     handler_.joinEnded(id, Outcome::reset, {}, false);
   }
 }
@@ -473,41 +502,53 @@
     // Another node now has this address: the subscriptions on the old one are over, and messages queued for
     // it cannot be delivered any more.
     if (endpoint == nullptr && sameAddress != idsByAddress.end()) {
-      resetEstablished(*node, now + 1);
+      resetEstablished(*node, now + 1, RemoteState::ended);
       node->queuedMessages.clear();
     }
     if (endpoint == nullptr) continue;
-    if (endpoint->readyAt > node->endpoint.readyAt) resetEstablished(*node, endpoint->readyAt);
+    if (endpoint->readyAt > node->endpoint.readyAt)
+      resetEstablished(*node, endpoint->readyAt, RemoteState::ended);
     node->endpoint = *endpoint;
   }
 }
 
+Micros Nodes::connectTimeoutOf(const NodeConnection& connection) const {
+  return connection.awaitingConnect.empty() ? std::min(limits_.connectTimeout, maxProbeDuration)
+                                            : limits_.connectTimeout;
+}
+
+// Probes a node that has joins or has to be sent something, and ends its subscriptions if it is lost.
+void Nodes::checkLiveness(Node& node, Micros now) {
+  if (node.joins.empty() && node.queuedMessages.empty()) return;
+  const bool connected = std::any_of(node.connections.begin(), node.connections.end(),
+                                     [](const auto& connection) { return connection->stream.isConnected(); });
+  switch (node.liveness.evaluate(now, connected)) {
+    case fleet::LivenessCheck::Verdict::alive:
+      break;
+    case fleet::LivenessCheck::Verdict::probe:
+      openConnection(node);
+      break;
+    case fleet::LivenessCheck::Verdict::processGone:
+      ++statistics_.nodesLost;
+      resetEstablished(node, now + 1, RemoteState::ended);
+      node.queuedMessages.clear();
+      break;
+    case fleet::LivenessCheck::Verdict::unreachable:
+      if (!node.joins.empty()) ++statistics_.nodesLost;
+      resetEstablished(node, now + 1, RemoteState::mayPlayOn);
+      break;
+  }
+}
+
 void Nodes::tick(Micros now) {
   closedConnections_.clear();
   std::vector<NodeConnection*> timedOut;
   for (auto& [id, node] : nodes_)
     for (const auto& connection : node->connections)
-      if (!connection->stream.isConnected() && now - connection->lastActivity > limits_.connectTimeout)
+      if (!connection->stream.isConnected() && now - connection->lastActivity > connectTimeoutOf(*connection))
         timedOut.push_back(connection.get());
   for (NodeConnection* connection : timedOut) handleConnectFailed(*connection, false);
-  for (auto& [id, node] : nodes_) {
-    if (node->joins.empty() && node->queuedMessages.empty()) continue;
-    bool connected = false, connecting = false;
-    for (const auto& connection : node->connections)
-      (connection->stream.isConnected() ? connected : connecting) = true;
-    switch (node->liveness.evaluate(now, connected, connecting)) {
-      case fleet::LivenessCheck::Verdict::alive:
-        break;
-      case fleet::LivenessCheck::Verdict::probe:
-        openConnection(*node);
-        break;
-      case fleet::LivenessCheck::Verdict::dead:
-        ++statistics_.nodesLost;
-        resetEstablished(*node, now + 1);
-        node->queuedMessages.clear();
-        break;
-    }
-  }
+  for (auto& [id, node] : nodes_) checkLiveness(*node, now);
   std::vector<NodeConnection*> idle;
   for (auto& [id, node] : nodes_)
     if (node->removed && node->joins.empty())
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -4,7 +4,7 @@
 // An unparsable line costs a connection and every pending join on it. Each pending join therefore has a
 // connection of its own while the connection limit allows it; established subscriptions share connections.
 // A join counts as written once its bytes have been passed to the operating system. A subscription that may
-// play at a node without a viewer is released there.
+// play at a node without a viewer is released there, also if the node can be reached only later.
 #pragma once
 
 #include <cstdint>
@@ -87,15 +87,25 @@
   void assignConnection(Join& join);
   void writeOffer(Join& join, NodeConnection& connection);
   void discardStale(NodeConnection& connection);
+  bool sendOnConnection(Node& node, const jsonl::Message& message, NodeConnection* preferred);
+  void queueMessage(Node& node, const jsonl::Message& message);
   void sendToNode(Node& node, const jsonl::Message& message, NodeConnection* preferred = nullptr);
   void handleConnected(NodeConnection& connection);
   void handleMessage(NodeConnection& connection, jsonl::Message& message);
   void handleClosed(NodeConnection& connection, MessageStream::CloseReason reason);
   void handleConnectFailed(NodeConnection& connection, bool refused);
+  Micros connectTimeoutOf(const NodeConnection& connection) const;
   void removeConnection(NodeConnection& connection);
   void releaseOrphan(Node& node, const std::string& call);
+  void releaseAtUnreachable(Node& node, const std::string& call);
   void removeJoin(Join& join);
-  void resetEstablished(Node& node, Micros before);
+  // What has become of the subscriptions at a node.
+  enum class RemoteState {
+    ended,      // with the process of the node
+    mayPlayOn,  // the node cannot be reached
+  };
+  void resetEstablished(Node& node, Micros before, RemoteState remoteState);
+  void checkLiveness(Node& node, Micros now);
   Join* findJoin(session::JoinId id);
 
   event_base* base_;
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -180,6 +180,65 @@
   CHECK(viewer.expect(Op::end, call).reasonCode == 16);
 }
 
+// Guards against subscriptions that play on for nobody while their seats are given out again: a node was
+// given up 4 s into a cut of up to 6 s, and nothing was released there when it was heard again.
+TEST_CASE(
+    "A subscription at a node that is cut off keeps its seat for 6 s, and is released if it is given up") {
+  const bool beyondLimit = GENERATE(false, true), connectionSurvives = GENERATE(true, false);
+  CAPTURE(beyondLimit, connectionSurvives);
+  if (!beyondLimit && !connectionSurvives) return;
+  TestHarness harness(1, 1024, [](Json& configuration) {
+    configuration["settings"]["domain"]["seats"] = {0, 1};
+  });
+  TestConnection viewer = verifiedViewer(harness);
+  const std::string call = harness.newCallId();
+  viewer.send(makeOffer(call, "paid", 900));
+  ReceivedOffer received = awaitOffer(harness, call);
+  received.connection.send(makeAccept(call));
+  viewer.expect(Op::accept, call);
+  // The probe that comes up just before the cut begins.
+  std::vector<TestConnection> probes;
+  probes.push_back(harness.nodes[0].accept());
+  const auto cutAt = Clock::now();
+  BacklogFullNode node(harness.nodes[0]);
+  if (!beyondLimit) {
+    CHECK(!viewer.receive(6'000));
+    node.open();
+    CHECK(!viewer.receive(3'000));
+    const std::string other = harness.newCallId();
+    viewer.send(makeOffer(other, "paid", 900));
+    CHECK(viewer.expect(Op::end, other).reasonCode == 34);  // the only seat is taken
+    received.connection.send(makeMessage(Op::end, call, 16));
+    CHECK(viewer.expect(Op::end, call).reasonCode == 16);
+    return;
+  }
+  const auto over = viewer.receive(8'000);
+  CHECK(Clock::now() - cutAt < std::chrono::milliseconds(8'000));
+  REQUIRE(over);
+  CHECK(over->op == Op::end);
+  CHECK(over->reasonCode == 41);
+  if (connectionSurvives) {
+    const auto release = received.connection.receive(100);
+    const auto later = release ? release : probes.back().receive(100);
+    REQUIRE(later);
+    CHECK(later->op == Op::end);
+    CHECK(later->call == call);
+  }
+  for (TestConnection& probe : probes) probe.reset();
+  received.connection.reset();
+  node.open();
+  const auto until = Clock::now() + std::chrono::seconds(5);
+  bool released = false;
+  std::vector<TestConnection> connections = std::move(node.fillers);
+  while (!released && Clock::now() < until) {
+    if (auto connection = harness.nodes[0].tryAccept(20)) connections.push_back(std::move(*connection));
+    for (TestConnection& connection : connections)
+      if (const auto message = connection.receive(5))
+        released = released || (message->op == Op::end && message->call == call);
+  }
+  CHECK(released);
+}
+
 TEST_CASE("A release that crosses its viewer's close is retransmitted on another connection") {
   TestHarness harness(1);
   TestConnection other = verifiedViewer(harness);
