Probes of a silent node do not add up, and it is given up by the length of its silence

Ruled out: the set-ups' own connections (their number follows the requests, which are the same). Change: a probe that comes up closes the least recently used other connection of its node that carries nothing. Tests: "The probes of a quiet node with a subscription do not add up" is new; five related socket cases and the five cases of the check pass under the sanitizers.

--- a/src/fleet/liveness_check.cpp
+++ b/src/fleet/liveness_check.cpp
@@ -4,13 +4,11 @@
 namespace {
 
 // Viewers have to be told within 8 s of the end of their subscription, and a cut lasts up to 6 s. A machine
-// may vanish right after it was last heard, and a cut may begin as late as the first attempt that fails. The
-// two times below therefore add up to less than 8 s, and the second leaves time after a cut for the next
-// probes.
-constexpr Micros silenceBeforeProbe = 1'100'000;
-constexpr Micros unansweredBeforeUnreachable = 6'700'000;  // since the first attempt that was not answered
-
-constexpr Micros minProbeInterval = 300'000;
+// may vanish right after it was last heard, so the node is given up shortly before 8 s of silence. A cut may
+// begin as late as the first probe; after it, time is left for two more probes, of which one may be lost.
+constexpr Micros silenceBeforeUnreachable = 7'850'000;
+constexpr Micros silenceBeforeProbe = 1'300'000;
+constexpr Micros minProbeInterval = 200'000;
 constexpr Micros unreachableProbeInterval = 2'000'000;
 
 // Single attempts fail at a healthy node as well.
@@ -27,13 +25,13 @@
 }
 
 void LivenessCheck::recordConnectAttempt(Micros now) {
-  if (attempts_++ == 0) firstAttempt_ = now;
+  ++attempts_;
   lastAttempt_ = now;
 }
 
 LivenessCheck::Verdict LivenessCheck::evaluate(Micros now, bool connected) {
   if (!connected && refusals_ >= refusalsBeforeGone) return Verdict::processGone;
-  if (attempts_ >= attemptsBeforeUnreachable && now - firstAttempt_ >= unansweredBeforeUnreachable) {
+  if (attempts_ >= attemptsBeforeUnreachable && now - lastActivity_ >= silenceBeforeUnreachable) {
     wasUnreachable_ = true;
     refusals_ = attempts_ = 0;
     return Verdict::unreachable;
--- a/src/fleet/liveness_check.h
+++ b/src/fleet/liveness_check.h
@@ -42,7 +42,6 @@
   // Since the last activity, or since the node was found unreachable.
   int refusals_ = 0;
   int attempts_ = 0;
-  Micros firstAttempt_ = 0;  // valid if there was an attempt
 };
 
 }  // namespace lupinsill::fleet
--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -142,6 +142,20 @@
   for (const Message& message : std::exchange(connection.node.queuedMessages, {}))
     connection.stream.send(message);
   connectionCameUp_ = true;
+  if (connection.awaitingConnect.empty()) closeSpareConnection(connection);
+}
+
+// A probe has come up: closes the least recently used other connection of the node that carries nothing, so
+// that probes do not add up.
+void Nodes::closeSpareConnection(const NodeConnection& probe) {
+  NodeConnection* spare = nullptr;
+  for (const auto& connection : probe.node.connections)
+    if (connection.get() != &probe && connection->stream.isConnected() &&
+        connection->awaitingConnect.empty() && connection->pending.empty() &&
+        connection->established.empty() &&
+        (spare == nullptr || connection->lastActivity < spare->lastActivity))
+      spare = connection.get();
+  if (spare != nullptr) removeConnection(*spare);
 }
 
 // A viewer's leave may be read in the same pass of the event loop in which the connection came up. Waiting
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -84,6 +84,7 @@
   NodeConnection* openConnection(Node& node);
   NodeConnection* chooseConnection(Node& node);
   bool evictIdleConnection(const Node& requester);
+  void closeSpareConnection(const NodeConnection& probe);
   void assignConnection(Join& join);
   void writeOffer(Join& join, NodeConnection& connection);
   void discardStale(NodeConnection& connection);
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -1,6 +1,8 @@
 // Tests `lupinsill run` for races around the end of requests, subscriptions, connections and the process
 // itself. The adverse order of events is forced: the process is paused while both events happen, or a stub
 // peer delays its part.
+#include <algorithm>
+
 #include "platform_harness.h"
 
 using namespace lupinsill;
@@ -239,6 +241,22 @@
   CHECK(released);
 }
 
+// Guards against descriptors that add up: each probe of a quiet node left its connection open.
+TEST_CASE("The probes of a quiet node with a subscription do not add up") {
+  TestHarness harness(1);
+  TestConnection viewer = verifiedViewer(harness);
+  TestConnection carrier = establishSubscription(harness, viewer, harness.newCallId());
+  std::vector<TestConnection> probes;
+  const auto until = Clock::now() + std::chrono::seconds(7);
+  while (Clock::now() < until)
+    if (auto probe = harness.nodes[0].tryAccept(100)) probes.push_back(std::move(*probe));
+  REQUIRE(probes.size() >= 3);
+  const auto open = std::count_if(probes.begin(), probes.end(),
+                                  [](TestConnection& probe) { return !probe.isClosedWithin(60); });
+  CHECK(open == 1);
+  CHECK(!carrier.isClosedWithin(60));
+}
+
 TEST_CASE("A release that crosses its viewer's close is retransmitted on another connection") {
   TestHarness harness(1);
   TestConnection other = verifiedViewer(harness);
