--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -152,7 +152,7 @@
   for (const auto& connection : probe.node.connections)
     if (connection.get() != &probe && connection->stream.isConnected() &&
         connection->awaitingConnect.empty() && connection->pending.empty() &&
-        connection->established.empty() &&
+        connection->established.empty() && !connection->stream.hasUnsentBytes() &&
         (spare == nullptr || connection->lastActivity < spare->lastActivity))
       spare = connection.get();
   if (spare != nullptr) removeConnection(*spare);
