A probe closes the probe before it, not the connection on which the node speaks

Cause: closeSpareConnection took the least recently used idle connection. For an adopted subscription that is the only one the node has, and the node's end was sent on it after the close. Ruled out: the adoption and its window, which are unchanged; load, since it fails alone as well. Change: the newest idle connection other than the probe is closed, which is the previous probe unless a join has taken it, and only where another one stays besides.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -145,17 +145,19 @@
   if (connection.awaitingConnect.empty()) closeSpareConnection(connection);
 }
 
-// A probe has come up: closes the least recently used other connection of the node that carries nothing, so
-// that probes do not add up.
+// A probe has come up: closes the previous one unless it has come into use, so that probes do not add up. The
+// node may send what concerns its subscriptions on any connection, so one besides the probe stays open.
 void Nodes::closeSpareConnection(const NodeConnection& probe) {
   NodeConnection* spare = nullptr;
-  for (const auto& connection : probe.node.connections)
-    if (connection.get() != &probe && connection->stream.isConnected() &&
-        connection->awaitingConnect.empty() && connection->pending.empty() &&
-        connection->established.empty() && !connection->stream.hasUnsentBytes() &&
-        (spare == nullptr || connection->lastActivity < spare->lastActivity))
+  int otherConnections = 0;
+  for (const auto& connection : probe.node.connections) {
+    if (connection.get() == &probe || !connection->stream.isConnected()) continue;
+    ++otherConnections;
+    if (connection->awaitingConnect.empty() && connection->pending.empty() &&
+        connection->established.empty() && !connection->stream.hasUnsentBytes())
       spare = connection.get();
-  if (spare != nullptr) removeConnection(*spare);
+  }
+  if (spare != nullptr && otherConnections > 1) removeConnection(*spare);
 }
 
 // A viewer's leave may be read in the same pass of the event loop in which the connection came up. Waiting
