Review case 9: a session that ends during a planned restart is never released

The test restarts the director; a session ends while it is away, and its media node sends the release on the next connection opened, before the viewer has named the session by at.

--- a/review/stand_in_2/cases.cpp
+++ b/review/stand_in_2/cases.cpp
@@ -128,6 +128,81 @@
   return broken > 0 ? 1 : 0;
 }
 
+// A director is restarted as planned. While it is away, one of two sessions at a media node comes to its end.
+// Then the viewers name their sessions to the new process.
+int plannedRestart() {
+  Stage stage;
+  addEight(stage);
+  stage.start();
+  Wire* viewer = stage.openViewer("viewer");
+  const auto ids = play(stage, *viewer, "paid", "lesson-8", seats);
+  const auto more = play(stage, *viewer, "clip", "lesson-9", 9);
+  // A paid one ends; another session stands at the same media node.
+  std::string ends, stays;
+  MediaNode* node = nullptr;
+  for (const std::string& id : ids)
+    for (const std::string& other : more)
+      if (&nodeOf(stage, id) == &nodeOf(stage, other)) ends = id, stays = other, node = &nodeOf(stage, id);
+  if (node == nullptr) throw CannotRun("no two sessions stand at one media node");
+  if (trouble()) stage.stop();
+  const Millis end = stage.now();
+  stage.finish(*node, ends);
+  if (trouble()) {
+    stage.run(500);
+    stage.start();
+    Wire* first = stage.openViewer("viewer");
+    Wire* second = stage.openViewer("viewer");
+    stage.nameAgain(*first, stays, node->name);
+    stage.run(100);
+    stage.nameAgain(*second, ends, node->name);
+  }
+  stage.run(12'000);
+  const Call& call = stage.calls[ends];
+  const Millis after = call.releasedAt - end;
+  if (call.releases == 0)
+    stage.note("the release of %s was not sent to its viewer in 12 s", ends.c_str());
+  else
+    stage.note("the release of %s came %lld ms after the end of its session", ends.c_str(),
+               static_cast<long long>(after));
+  return call.releases == 0 || after > 8'000 + slack + ownDelay ? 1 : 0;
+}
+
+// One media node's process is replaced at its address within 0.1 s, while the list is out of reach.
+int replacedNode() {
+  Stage stage;
+  addEight(stage);
+  stage.start();
+  Wire* viewer = stage.openViewer("viewer");
+  play(stage, *viewer, "clip", "lesson-2", 10);
+  MediaNode& node = busiest(stage);
+  std::vector<std::string> lost;
+  for (const auto& [id, session] : node.sessions) lost.push_back(id);
+  stage.nameServerSilent = trouble();
+  stage.run(500);
+  const Millis end = stage.now();
+  stage.note("%s ends with %zu standing sessions", node.name.c_str(), lost.size());
+  node.sessions.clear();
+  stage.stopListening(node);
+  for (Wire* wire : node.wires) stage.drop(*wire, true);
+  stage.at(100, [&] {
+    stage.listenAt(node);
+    node.name = "s-x9";
+    node.startedUnix = unixNow();
+    ++stage.serial;
+    stage.note("%s has taken its address", node.name.c_str());
+  });
+  stage.at(11'500, [&] { stage.nameServerSilent = false; });
+  stage.run(15'000);
+  int broken = 0;
+  for (const std::string& id : lost) {
+    const Call& call = stage.calls[id];
+    stage.note("viewer of %s: release %lld ms after the end of its session", id.c_str(),
+               call.releases == 0 ? -1 : static_cast<long long>(call.releasedAt - end));
+    broken += call.releases == 0 || call.releasedAt - end > 8'000 + slack + ownDelay;
+  }
+  return broken > 0 ? 1 : 0;
+}
+
 // A bad client sends requests that are taken back at once, and stays. Later the session of a usual viewer,
 // whose connection has closed, comes to its end.
 int badClient() {
@@ -285,6 +360,8 @@
       {"bad-client", review::badClient},
       {"out-of-range", review::outOfRange},
       {"forgotten", review::forgottenConnection},
+      {"planned-restart", review::plannedRestart},
+      {"replaced-node", review::replacedNode},
       {"unheard-release", review::unheardRelease},
   };
   const auto it = cases.find(count > 1 ? arguments[1] : "");
--- a/review/stand_in_2/stage.h
+++ b/review/stand_in_2/stage.h
@@ -260,12 +260,16 @@
     const char* command = std::getenv("RUN_COMMAND");
     const char* folder = std::getenv("CASE_TMP");
     if (command == nullptr || folder == nullptr) throw CannotRun("RUN_COMMAND and CASE_TMP are not set");
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in any = loopback(0);
-    if (bind(probe, reinterpret_cast<const sockaddr*>(&any), sizeof any) != 0)
-      throw CannotRun("no port for the director");
-    port_ = portOf(probe);
-    close(probe);
+    // Restarted directors keep their addresses.
+    if (port_ == 0) {
+      const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in any = loopback(0);
+      if (bind(probe, reinterpret_cast<const sockaddr*>(&any), sizeof any) != 0)
+        throw CannotRun("no port for the director");
+      port_ = portOf(probe);
+      close(probe);
+    }
+    ready_ = false;
     Json json = configuration();
     if (edit) edit(json);
     const std::string file = std::string(folder) + "/config.json";
@@ -296,6 +300,13 @@
     }
     if (!ready_) throw CannotRun("the director does not pass a test");
   }
+  // A planned restart begins: SIGTERM to the program. Returns once it has ended.
+  void stop() {
+    note("SIGTERM to the director");
+    kill(director_, SIGTERM);
+    if (!runUntil([&] { return !directorRuns(); }, 3'700)) throw CannotRun("the director does not end");
+    note("the director has ended");
+  }
   bool directorRuns() {
     if (director_ > 0 && waitpid(director_, nullptr, WNOHANG) == director_) director_ = -1;
     return director_ > 0;
@@ -343,9 +354,17 @@
     call.title = title;
     call.wire = wire.name;
     call.askedAt = now();
+    offers_[id] = message;
     write(wire, message);
     return id;
   }
+  // A viewer names a session that plays at a media node already to a director that has just started.
+  void nameAgain(Wire& wire, const std::string& id, const std::string& node) {
+    Json message = offers_.at(id);
+    message["with"]["extras"] = message["with"]["extras"].get<std::string>() + ";at:" + node;
+    calls[id].wire = wire.name;
+    write(wire, message);
+  }
   // A viewer ends its session, or takes its request back.
   void leave(Wire& wire, const std::string& id) {
     calls[id].leftAt = now();
@@ -633,14 +652,15 @@
   Json configuration() const {
     Json endpoints = Json::array();
     for (const auto& node : nodes)
-      endpoints.push_back({{"name", node->name},
-                           {"address", "127.0.0.1:" + std::to_string(node->port)},
-                           {"zone", node->zone},
-                           {"type", "two-core"},
-                           {"group", node->cell},
-                           {"status", "up"},
-                           {"weight", 1},
-                           {"since_ms", node->startedUnix}});
+      if (node->listed)
+        endpoints.push_back({{"name", node->name},
+                             {"address", "127.0.0.1:" + std::to_string(node->port)},
+                             {"zone", node->zone},
+                             {"type", "two-core"},
+                             {"group", node->cell},
+                             {"status", node->draining ? "draining" : "up"},
+                             {"weight", 1},
+                             {"since_ms", node->startedUnix}});
     const auto room = [](const char* name, const char* effect, double aim, double deadline, double points) {
       return Json{
           {"name", name},     {"effect", effect}, {"aimNs", aim * 1e9},  {"deadlineNs", deadline * 1e9},
@@ -712,6 +732,7 @@
   std::uint32_t lastSerialTold_ = 0;
   std::multimap<Millis, std::function<void()>> timers_;
   std::vector<std::unique_ptr<Wire>> wires_;
+  std::map<std::string, Json> offers_;    // the set-ups as they were sent
   std::map<std::string, Wire*> pending_;  // set-ups that a media node works on
   std::vector<MediaNode*> vanished_;
 };
