After a lost connection a new one is opened, so that releases are repeated and heard

Cause, by the record of the case: the node sends the release on the connection of the set-up, on which an answer was lost and nothing arrives any more, and repeats it on the next connection that it accepts. Ruled out: the release being passed over on arrival (it does not arrive), and the node being given up (it is heard each second).

Change: LivenessCheck records the loss of a connection and asks for probes until an attempt that began after the loss succeeds. Nodes reports a loss for broken connections, unreadable messages, closes under a pending join, and connections given up because a join on them had no answer. It works since the new attempt begins after everything that was sent on the lost connection.

--- a/src/fleet/liveness_check.cpp
+++ b/src/fleet/liveness_check.cpp
@@ -29,6 +29,12 @@
   lastAttempt_ = now;
 }
 
+// The node may have accepted a connection whose attempt began earlier before it sent what was lost.
+void LivenessCheck::recordConnected(Micros now, Micros attemptBegan) {
+  recordActivity(now);
+  if (connectionLostAt_ && attemptBegan >= *connectionLostAt_) connectionLostAt_.reset();
+}
+
 LivenessCheck::Verdict LivenessCheck::evaluate(Micros now, bool connected) {
   if (!connected && refusals_ >= refusalsBeforeGone) return Verdict::processGone;
   if (attempts_ >= attemptsBeforeUnreachable && now - lastActivity_ >= silenceBeforeUnreachable) {
@@ -40,7 +46,8 @@
   if (now - lastAttempt_ < probeInterval) return Verdict::alive;
   // An attempt without an answer is followed by the next one at once, since a single one may fail at a
   // healthy node.
-  if (connected && attempts_ == 0 && now - lastActivity_ < silenceBeforeProbe) return Verdict::alive;
+  const bool isHeard = connected && attempts_ == 0 && now - lastActivity_ < silenceBeforeProbe;
+  if (isHeard && !connectionLostAt_) return Verdict::alive;
   // Also where the caller cannot open a connection: the next probe is due one interval later.
   lastAttempt_ = now;
   return Verdict::probe;
--- a/src/fleet/liveness_check.h
+++ b/src/fleet/liveness_check.h
@@ -7,9 +7,15 @@
 // none has come up for longer than a cut may last. A node whose process hangs still accepts connections, so
 // silence alone does not count against a node.
 //
+// It also decides when a node that is still there has to be reached anew: a node sends the release of a
+// subscription on the connection of its set-up and repeats it only on the next connection that it accepts. If
+// a connection is lost, so may be the releases that were sent on it, and the next connection is due at once.
+//
 // No I/O and no clock: times are microseconds on the caller's clock.
 #pragma once
 
+#include <optional>
+
 #include "control.h"
 
 namespace lupinsill::fleet {
@@ -31,6 +37,10 @@
   void recordActivity(Micros now);
   // An attempt to open a connection begins, as a probe or for another purpose.
   void recordConnectAttempt(Micros now);
+  // A connection was established. `attemptBegan`: when its attempt began.
+  void recordConnected(Micros now, Micros attemptBegan);
+  // An established connection has ended or is useless, and what the node sent on it may not have arrived.
+  void recordConnectionLost(Micros now) { connectionLostAt_ = now; }
   // The machine refused a connection, so no process listens there any more.
   void recordRefusal() { ++refusals_; }
   // Returns what to do now about a node that serves subscriptions or has to be sent something. `connected`: a
@@ -42,6 +52,8 @@
   Micros lastActivity_;
   Micros lastAttempt_ = 0;
   bool wasUnreachable_ = false;
+  // When the last connection was lost; empty once an attempt that began later has succeeded.
+  std::optional<Micros> connectionLostAt_;
   // Since the last activity, or since the node was found unreachable.
   int refusals_ = 0;
   int attempts_ = 0;
--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -28,7 +28,8 @@
   NodeConnection(Nodes& nodes, Node& nodeState, net::BufferEvent bufferEvent, std::string name)
       : owner(nodes),
         node(nodeState),
-        lastActivity(net::unixNow()),
+        openedAt(net::unixNow()),
+        lastActivity(openedAt),
         stream(*this, std::move(bufferEvent), false, std::move(name)) {}
   void onConnected(MessageStream&) override { owner.handleConnected(*this); }
   void onMessage(MessageStream&, Message& message) override { owner.handleMessage(*this, message); }
@@ -37,6 +38,7 @@
   }
   Nodes& owner;
   Node& node;
+  const Micros openedAt;               // when connecting began
   Micros lastActivity;                 // when connecting began, later when it was last used
   bool draining = false;               // takes no new offers; closed once no answer is pending
   std::vector<Join*> awaitingConnect;  // not written yet: the connection is not up
@@ -136,7 +138,7 @@
 
 void Nodes::handleConnected(NodeConnection& connection) {
   connection.lastActivity = net::unixNow();
-  connection.node.liveness.recordActivity(net::unixNow());
+  connection.node.liveness.recordConnected(net::unixNow(), connection.openedAt);
   for (const Message& message : std::exchange(connection.node.queuedMessages, {}))
     connection.stream.send(message);
   connectionCameUp_ = true;
@@ -183,6 +185,22 @@
     }
 }
 
+// The node sends the release of a subscription on the connection of its set-up or, if that is closed, on any
+// other, and then on the next one that it accepts.
+void Nodes::recordConnectionLost(Node& node) {
+  const bool hasSubscriptions = std::any_of(node.joins.begin(), node.joins.end(),
+                                            [](const auto& entry) { return entry.second->started; });
+  if (hasSubscriptions) node.liveness.recordConnectionLost(net::unixNow());
+}
+
+// Closes a connection that takes no new offers once no answer is pending on it. Until then the node may have
+// sent releases on it that did not arrive.
+void Nodes::removeIfDrained(NodeConnection& connection) {
+  if (!connection.draining || !connection.pending.empty()) return;
+  recordConnectionLost(connection.node);
+  removeConnection(connection);
+}
+
 // Removes the connection from its node at once. The object is freed in the next tick, since one of its
 // callbacks may still be running.
 void Nodes::removeConnection(NodeConnection& connection) {
@@ -206,6 +224,8 @@
   const auto awaitingConnect = std::exchange(connection.awaitingConnect, {});
   const auto pending = std::exchange(connection.pending, {});
   removeConnection(connection);
+  // Without pending joins, an orderly close comes after everything that the node has sent.
+  if (reason != MessageStream::CloseReason::closedByPeer || !pending.empty()) recordConnectionLost(node);
   for (Join* join : pending) {
     const session::JoinId id = join->command.join;
     // The node may have accepted the offer; the subscription would then play there without a viewer.
@@ -311,7 +331,7 @@
 void Nodes::discardStale(NodeConnection& connection) {
   ++statistics_.staleConnections;
   connection.draining = true;
-  if (connection.pending.empty() && connection.awaitingConnect.empty()) removeConnection(connection);
+  if (connection.awaitingConnect.empty()) removeIfDrained(connection);
 }
 
 // Offers the call to the node. A join that fails here or may not be written ends at once.
@@ -379,13 +399,15 @@
   const std::string call = join->call.id;
   removeJoin(*join);
   if (!written) return;
-  sendToNode(node, makeRelease(call), connection);
-  // The join was never answered. If its answer was garbled, nothing after it on this connection can be
-  // parsed, so the connection takes no new offers.
-  if (!started && connection != nullptr) {
+  // If the join was never answered, its answer may have been garbled or lost, and with it everything that the
+  // node sent after it on this connection, which takes no new offers.
+  const bool isSuspect = !started && connection != nullptr;
+  if (isSuspect) {
     connection->draining = true;
-    if (connection->pending.empty()) removeConnection(*connection);
+    recordConnectionLost(node);
   }
+  sendToNode(node, makeRelease(call), connection);
+  if (isSuspect) removeIfDrained(*connection);
 }
 
 void Nodes::withdraw(session::JoinId id) {
@@ -443,7 +465,7 @@
     std::erase(connection.pending, &join);
     connection.established.push_back(&join);
     handler_.joinStarted(id, *message.description);
-    if (connection.draining && connection.pending.empty()) removeConnection(connection);
+    removeIfDrained(connection);
     return;
   }
   if (message.op == Op::end) {
@@ -471,7 +493,7 @@
                          : reasonCode == reason_code::notSent   ? Outcome::notSent
                                                                 : Outcome::reset,
                          report, false);
-      if (connection.draining && connection.pending.empty()) removeConnection(connection);
+      removeIfDrained(connection);
     }
     return;
   }
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -97,6 +97,8 @@
   void handleConnectFailed(NodeConnection& connection, bool refused);
   Micros connectTimeoutOf(const NodeConnection& connection) const;
   void removeConnection(NodeConnection& connection);
+  void removeIfDrained(NodeConnection& connection);
+  static void recordConnectionLost(Node& node);
   void releaseOrphan(Node& node, const std::string& call);
   void releaseAtUnreachable(Node& node, const std::string& call);
   void removeJoin(Join& join);
--- a/tests/liveness_check_test.cpp
+++ b/tests/liveness_check_test.cpp
@@ -86,6 +86,30 @@
   CHECK(liveness.evaluate(now + 2 * second, true) == LivenessCheck::Verdict::probe);
 }
 
+// Guards against a release that is never heard because the node has no next connection to repeat it on.
+TEST_CASE("After a connection was lost, a node is probed until an attempt that began later has succeeded") {
+  LivenessCheck liveness(10 * second);
+  Micros now = 10 * second;
+  const auto evaluateAfter = [&](Micros wait) {
+    now += wait;
+    liveness.recordActivity(now);  // on another connection
+    return liveness.evaluate(now, true);
+  };
+  liveness.recordConnectAttempt(now);
+  const Micros earlierAttempt = now;
+  CHECK(evaluateAfter(second) == LivenessCheck::Verdict::alive);
+  liveness.recordConnectionLost(now);
+  CHECK(evaluateAfter(25 * ms) == LivenessCheck::Verdict::probe);
+  liveness.recordConnectAttempt(now);
+  // The node may have accepted this connection before it sent what was lost.
+  liveness.recordConnected(now, earlierAttempt);
+  CHECK(evaluateAfter(100 * ms) == LivenessCheck::Verdict::alive);  // the attempt is under way
+  CHECK(evaluateAfter(200 * ms) == LivenessCheck::Verdict::probe);  // it may have failed
+  liveness.recordConnectAttempt(now);
+  liveness.recordConnected(now + 10 * ms, now);
+  for (int i = 0; i < 100; ++i) CHECK(evaluateAfter(100 * ms) == LivenessCheck::Verdict::alive);
+}
+
 TEST_CASE("A node that hangs but accepts connections is not given up") {
   LivenessCheck liveness(10 * second);
   for (Micros now = 10 * second; now < 60 * second; now += 25 * ms) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -176,6 +176,50 @@
   CHECK(viewer.expect(Op::end, call).reasonCode == 16);
 }
 
+// Guards against a release that is never heard: the node sent it on a connection whose answers no longer
+// arrive, and while another connection to the node is up, no next one is opened on which it is repeated.
+TEST_CASE(
+    "After a connection is lost beside others, a new one is opened on which the node repeats releases") {
+  enum { answerNeverArrives, unreadableAnswer, reset };
+  const int fault = GENERATE(+answerNeverArrives, +unreadableAnswer, +reset);
+  CAPTURE(fault);
+  TestHarness harness(1);
+  TestConnection viewer = harness.viewer();
+  // The first connection is busy with a join, so the second join gets a connection of its own.
+  const std::string onLost = harness.newCallId(), onOther = harness.newCallId();
+  viewer.send(makeOffer(onLost));
+  ReceivedOffer lost = awaitOffer(harness, onLost);
+  viewer.send(makeOffer(onOther));
+  ReceivedOffer other = awaitOffer(harness, onOther);
+  other.connection.send(makeAccept(onOther));
+  viewer.expect(Op::accept, onOther);
+  lost.connection.send(makeAccept(onLost));
+  viewer.expect(Op::accept, onLost);
+  // The next join goes to the connection that was used last.
+  const std::string unanswered = harness.newCallId();
+  viewer.send(makeOffer(unanswered, "paid", 900));
+  const auto offer = lost.connection.receive();
+  REQUIRE(offer);
+  REQUIRE(offer->call == unanswered);
+  if (fault == unreadableAnswer) lost.connection.sendBytes("no message\n");
+  if (fault == reset) lost.connection.reset();
+  // Meanwhile the node is heard on the other connection.
+  Message info = makeMessage(Op::info, onOther);
+  info.fields = {{"note", "fill"}, {"value", "0.97"}};
+  std::optional<TestConnection> next;
+  for (int i = 0; i < 40 && !next; ++i) {
+    other.connection.send(info);
+    next = harness.nodes[0].tryAccept(100);
+  }
+  REQUIRE(next);
+  next->send(makeMessage(Op::end, onLost, 16));
+  std::optional<Message> release = viewer.receive();
+  if (release && release->call == unanswered) release = viewer.receive();
+  REQUIRE(release);
+  CHECK(release->call == onLost);
+  CHECK(release->op == Op::end);
+}
+
 TEST_CASE(
     "A running subscription is adopted at start without an answer, whatever its time left, and its end is "
     "reported") {
