A call ID that comes again after its call is over is rejected instead of running twice

Cause: platform::Viewers knows the IDs of open calls only, and the front numbers calls itself, so no guard sees that the ID is the same. Ruled out: the front placing one request twice (each offer follows a message of the client); WebSocket and gRPC (same key: one join, tried with close, leave and reset).

An offer with such an ID is rejected as invalid.

--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -273,9 +273,10 @@
     viewers_->ended(end->callId, end->reason == session::EndReason::finished);
   } else if (const auto* setUp = std::get_if<session::SetUp>(&command)) {
     const fleet::NodeEndpoint* endpoint = membership_.find(setUp->node);
-    const Call* call = viewers_->find(setUp->callId);
+    Call* call = viewers_->find(setUp->callId);
     if (call == nullptr) return front_.joinEnded(setUp->join, Outcome::notSent, {}, false);
     if (endpoint == nullptr) return front_.joinEnded(setUp->join, Outcome::connectFailed, {}, false);
+    call->mayHaveRun = true;
     nodes_.setUp(*setUp, *endpoint, *call);
   } else if (const auto* change = std::get_if<session::ChangeRung>(&command)) {
     nodes_.changeRung(*change);
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -203,6 +203,9 @@
     if (existing->second->viewer == &viewer) return closeConnection(viewer);
     return rejectInvalid(viewer, message.call);
   }
+  // A request that may have run already must not run again, whoever sends its ID.
+  if (!adoption && recentIds_.contains(net::unixNow(), message.call))
+    return rejectInvalid(viewer, message.call);
   // A forged adoption would occupy a seat and a slot at its node for good: no node knows the subscription, so
   // none reports its end. Adoptions are therefore accepted only for a limited time after the start.
   if (adoption && adoptionTimeLeft_ <= 0) return rejectInvalid(viewer, message.call);
@@ -221,8 +224,8 @@
   auto newEntry = std::make_unique<CallEntry>();
   CallEntry& entry = *newEntry;
   entry.viewer = &viewer;
-  entry.call = {message.call,  ++lastCallId_,        *message.find("class"),
-                request.title, *message.description, adoption};
+  entry.call = {message.call, ++lastCallId_, *message.find("class"), request.title, *message.description,
+                adoption,     adoption};
   request.callId = entry.call.callId;
   (adoption ? viewer.established : viewer.pending).emplace(entry.call.callId, &entry);
   callsByCallId_[entry.call.callId] = &entry;
@@ -309,6 +312,7 @@
     entry.viewer->established.erase(entry.call.callId);
     entry.viewer->lastActivity = net::unixNow();
   }
+  if (entry.call.mayHaveRun) recentIds_.record(net::unixNow(), entry.call.id);
   callsByCallId_.erase(entry.call.callId);
   calls_.erase(std::string(entry.call.id));
 }
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -14,6 +14,7 @@
 #include "net/handles.h"
 #include "platform/message_stream.h"
 #include "session/front.h"
+#include "session/recent_call_ids.h"
 
 namespace lupinsill::platform {
 
@@ -22,7 +23,8 @@
   std::string id;  // on the wire
   session::CallId callId = 0;
   std::string room, title, description;
-  bool answered = false;  // accepted, or adopted
+  bool answered = false;    // accepted, or adopted
+  bool mayHaveRun = false;  // a join of it was passed on towards a media node
 };
 
 // Connections and calls of all viewers. Owned by the director; must stay at one address, since its
@@ -117,6 +119,7 @@
   std::vector<std::unique_ptr<ViewerConnection>> closedConnections_;        // freed in the next tick
   std::map<std::string, std::unique_ptr<CallEntry>> calls_;                 // by the ID on the wire
   std::map<session::CallId, CallEntry*> callsByCallId_;                     // by the ID in the front
+  session::RecentCallIds recentIds_;  // of calls that are over and may have run
 
   bool healthCheckPassed_ = false;
   Micros adoptionTimeLeft_ = 0;  // counted from the first passed health check
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -335,6 +335,37 @@
   viewer.expect(Op::accept, call);
 }
 
+// Guards against a request that runs twice because its ID comes again after its viewer has left.
+TEST_CASE("A call ID that comes again after its viewer has left is rejected and no node sees it again") {
+  enum { closedBeforeAnswer, endedBeforeAnswer, endedAfterAnswer, releasedByNode };
+  const int leaving = GENERATE(+closedBeforeAnswer, +endedBeforeAnswer, +endedAfterAnswer, +releasedByNode);
+  CAPTURE(leaving);
+  TestHarness harness(1);
+  TestConnection viewer = harness.viewer();
+  const std::string call = harness.newCallId();
+  viewer.send(makeOffer(call, "paid", 900));
+  ReceivedOffer received = awaitOffer(harness, call);
+  if (leaving == endedAfterAnswer || leaving == releasedByNode) {
+    received.connection.send(makeAccept(call));
+    viewer.expect(Op::accept, call);
+  }
+  if (leaving == releasedByNode) {
+    received.connection.send(makeMessage(Op::end, call, 16));
+    received.connection.expect(Op::ended, call);
+    viewer.expect(Op::end, call);
+  } else {
+    if (leaving == closedBeforeAnswer) viewer.close();
+    if (leaving != closedBeforeAnswer) viewer.send(makeMessage(Op::end, call, 16));
+    received.connection.expect(Op::end, call);
+  }
+  TestConnection next = harness.viewer();
+  next.send(makeOffer(call, "paid", 900));
+  CHECK(next.expect(Op::end, call).reasonCode == 100);
+  CHECK(!harness.nodes[0].tryAccept(300));
+  const auto message = received.connection.receive(300);
+  CHECK((!message || message->op != Op::offer));
+}
+
 TEST_CASE("Viewers are served while hundreds of connections stay silent") {
   TestHarness harness(2, 256);
   TestConnection viewer = harness.viewer();
