Unfinished messages of WebSocket and gRPC clients are limited in the memory they take

Cause: the size limit of a WebSocket message counts its bytes, but wslay keeps each fragment in a chunk of its own; the size limit of a gRPC message holds for each of a connection's 40 streams. Ruled out: unread answers (their limit holds), heads and headers (18 to 43 MB, bounded).

Change: 64 fragments a message, then close 1008 and no further reading; four messages of the maximum size unfinished on a gRPC connection, then RESOURCE_EXHAUSTED for the call that goes beyond.

The status has a test without sockets; it has no "before", since the function is new.

--- a/src/grpc/calls.cpp
+++ b/src/grpc/calls.cpp
@@ -7,6 +7,8 @@
 
 // Streams per connection beyond the limit on its Play calls.
 constexpr std::size_t extraStreams = 8;
+// Unfinished messages of the maximum size that are buffered for one connection.
+constexpr std::size_t maxUnfinishedMessages = 4;
 
 Http2Limits http2Limits(const settings::SocketLimits& limits) {
   Http2Limits out;
@@ -141,23 +143,31 @@
     onMessage(connection, stream, it->second, *message);
     it = findCall();
   }
-  if (valid || it == peer->second.calls.end()) return;
+  if (it == peer->second.calls.end()) return;
+  const bool tooMuchUnfinished = unfinishedBytes(peer->second) > maxUnfinishedMessages * limits_.messageBytes;
+  if (valid && !tooMuchUnfinished) return;
   ++statistics_.invalidMessages;
   const session::CallId callId = it->second.callId;
   const MessageReader::Fault fault = it->second.reader.fault();
-  if (callId != 0) endCallOnFault(callId);
-  finish(connection, stream,
-         fault == MessageReader::Fault::tooLarge ? trailersOf(Status::resourceExhausted, "message too large")
-         : fault == MessageReader::Fault::compressed
-             ? trailersOf(Status::unimplemented, "compressed messages are not taken")
-             : trailersOf(Status::internal, "not a gRPC message"));
+  const bool mayHaveRun = callId != 0 && endCallOnFault(callId);
+  finish(connection, stream, trailersOf(fault, mayHaveRun));
+}
+
+// Bytes that are buffered for messages of the peer that are not complete yet.
+std::size_t Calls::unfinishedBytes(const Peer& peer) {
+  std::size_t bytes = 0;
+  for (const auto& [stream, call] : peer.calls) bytes += call.reader.bufferedBytes();
+  return bytes;
 }
 
 // Ends a call in the call manager after an error of its client, and tells the director if it has the call.
-void Calls::endCallOnFault(session::CallId callId) {
+// Returns whether it has, so that the request may have run.
+bool Calls::endCallOnFault(session::CallId callId) {
   const admission::InputResult result =
       callManager_.handleInput(net::monotonicNow(), callId, admission::CallInput::reset);
-  if (result.action == admission::CallAction::notifyClosed) handler_.onClosed(callId);
+  const bool isKnown = result.action == admission::CallAction::notifyClosed;
+  if (isKnown) handler_.onClosed(callId);
+  return isKnown;
 }
 
 void Calls::onMessage(Http2& connection, StreamId stream, Call& call, std::string_view message) {
--- a/src/grpc/calls.h
+++ b/src/grpc/calls.h
@@ -73,7 +73,8 @@
   Headers responseHeaders() const;
   void sendResponseHeaders(Http2& connection, StreamId stream, Call& call);
   void finish(Http2& connection, StreamId stream, const Headers& trailers);
-  void endCallOnFault(session::CallId callId);
+  bool endCallOnFault(session::CallId callId);
+  static std::size_t unfinishedBytes(const Peer& peer);
   Serving servingStatus(const std::string& service) const;
 
   event_base* base_;
--- a/src/grpc/messages.cpp
+++ b/src/grpc/messages.cpp
@@ -199,6 +199,21 @@
   return out;
 }
 
+Headers trailersOf(MessageReader::Fault fault, bool mayHaveRun) {
+  if (fault == MessageReader::Fault::compressed)
+    return trailersOf(Status::unimplemented, "compressed messages are not taken");
+  if (fault == MessageReader::Fault::badFlag) return trailersOf(Status::internal, "not a gRPC message");
+  if (mayHaveRun) {
+    AnswerMessage answer;
+    answer.kind = AnswerKind::terminated;
+    answer.reason = "may-have-run";
+    return trailersOf(answer);
+  }
+  return trailersOf(Status::resourceExhausted, fault == MessageReader::Fault::tooLarge
+                                                   ? "message too large"
+                                                   : "too many unfinished messages");
+}
+
 Headers trailersOf(const AnswerMessage& answer) {
   Headers out = trailersOf(statusOf(answer), answer.reason);
   out.emplace_back("lupinsill-answer", nameOf(answer.kind));
--- a/src/grpc/messages.h
+++ b/src/grpc/messages.h
@@ -45,6 +45,10 @@
 // automatic retry by gRPC after the given time; all other answers forbid it.
 Headers trailersOf(const session_api::AnswerMessage& answer);
 Headers trailersOf(Status status, std::string_view message);
+// For a call that ends since its client's bytes are no message, or, with Fault::none, since too many of its
+// messages are unfinished. `mayHaveRun`: its request has been passed on; no status that allows a retry is
+// returned then.
+Headers trailersOf(MessageReader::Fault fault, bool mayHaveRun);
 // Trailers as received by a client. `answer` has the kind `error` if they carry no answer of a director.
 struct Trailers {
   int status = static_cast<int>(Status::unknown);
--- a/src/grpc/wire.h
+++ b/src/grpc/wire.h
@@ -38,6 +38,7 @@
   // The next complete message, if there is one.
   std::optional<std::string> next();
   Fault fault() const { return fault_; }
+  std::size_t bufferedBytes() const { return buffer_.size(); }
   bool atMessageBoundary() const { return buffer_.empty(); }  // no incomplete message is buffered
 
  private:
--- a/src/websocket/channel.cpp
+++ b/src/websocket/channel.cpp
@@ -24,6 +24,7 @@
   callbacks.recv_callback = receive;
   callbacks.send_callback = send;
   callbacks.genmask_callback = generateMask;
+  callbacks.on_frame_recv_start_callback = onFrameStart;
   callbacks.on_msg_recv_callback = onMessage;
   if (server_)
     wslay_event_context_server_init(&wslay_, &callbacks, this);
@@ -155,7 +156,7 @@
 void Channel::onRead(bufferevent*, void* context) {
   auto& channel = *static_cast<Channel*>(context);
   channel.lastReceivedAt_ = net::monotonicNow();
-  if (channel.rejected_) {
+  if (channel.rejected_ || channel.ignoresInput_) {
     evbuffer* input = bufferevent_get_input(channel.bufferEvent_.get());
     evbuffer_drain(input, evbuffer_get_length(input));
     return;
@@ -191,7 +192,7 @@
 ssize_t Channel::receive(wslay_event_context* ctx, std::uint8_t* buffer, std::size_t size, int,
                          void* context) {
   auto& channel = *static_cast<Channel*>(context);
-  if (channel.state_ == State::dead) {
+  if (channel.state_ == State::dead || channel.ignoresInput_) {
     wslay_event_set_error(ctx, WSLAY_ERR_WOULDBLOCK);
     return -1;
   }
@@ -213,6 +214,20 @@
   return 0;
 }
 
+// Each fragment of an unfinished message occupies a chunk of memory of its own, which is many times the size
+// of a short fragment. The limit on the size of a message does not bound that.
+void Channel::onFrameStart(wslay_event_context*, const wslay_event_on_frame_recv_start_arg* arg,
+                           void* context) {
+  auto& channel = *static_cast<Channel*>(context);
+  if (wslay_is_ctrl_frame(arg->opcode)) return;
+  ++channel.fragments_;
+  if (channel.fragments_ > channel.limits_.fragments) {
+    channel.close(close_code::policyViolation, "too many fragments");
+    channel.ignoresInput_ = true;
+  }
+  if (arg->fin != 0) channel.fragments_ = 0;
+}
+
 void Channel::onMessage(wslay_event_context*, const wslay_event_on_msg_recv_arg* arg, void* context) {
   auto& channel = *static_cast<Channel*>(context);
   if (channel.state_ != State::open) return;
--- a/src/websocket/channel.h
+++ b/src/websocket/channel.h
@@ -4,7 +4,8 @@
 //
 // An error ends the connection and is reported once by Handler::onClosed with a close code of RFC 6455: 1002
 // invalid frames, 1003 a binary message, 1006 broken socket, 1007 invalid UTF-8, 1008 a peer that reads too
-// slowly, 1009 message too large. The channel is dead from then on; its owner frees it outside its callbacks.
+// slowly or a message in too many fragments, 1009 message too large. The channel is dead from then on; its
+// owner frees it outside its callbacks.
 #pragma once
 
 #include <wslay/wslay.h>
@@ -36,6 +37,7 @@
   Micros handshake = 5'000'000;     // until the end of the opening handshake
   Micros pingEvery = 20'000'000;    // silence of the peer after which it is sent a ping
   Micros idleClose = 60'000'000;    // silence of the peer after which the connection is closed
+  std::size_t fragments = 64;       // frames of one received message
 };
 
 // Not movable; the owner must keep it until onClosed or abort().
@@ -79,6 +81,8 @@
   static ssize_t send(wslay_event_context* ctx, const std::uint8_t* data, std::size_t size, int flags,
                       void* context);
   static int generateMask(wslay_event_context* ctx, std::uint8_t* buffer, std::size_t size, void* context);
+  static void onFrameStart(wslay_event_context* ctx, const wslay_event_on_frame_recv_start_arg* arg,
+                           void* context);
   static void onMessage(wslay_event_context* ctx, const wslay_event_on_msg_recv_arg* arg, void* context);
   static void onRead(bufferevent* bufferEvent, void* context);
   static void onWrite(bufferevent* bufferEvent, void* context);
@@ -100,6 +104,8 @@
   Micros lastPingAt_ = 0;
   Micros closeStartedAt_ = 0;
   bool rejected_ = false;
+  bool ignoresInput_ = false;  // closing after a violation: what the peer sends is dropped
+  std::size_t fragments_ = 0;  // received so far of the current message
   wslay_event_context* wslay_ = nullptr;
 };
 
--- a/tests/director_test.cpp
+++ b/tests/director_test.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <set>
 #include <thread>
 
 #include "director/admin.h"
@@ -272,6 +273,68 @@
   CHECK(d.end(SIGTERM) == 0);
 }
 
+// Guards against memory that grows by far more than the messages of clients that send them slowly.
+TEST_CASE("A WebSocket message in too many fragments closes its connection and one in a few is read") {
+  Director d;
+  constexpr char continuation = '\x00', finalContinuation = '\x80', firstText = '\x01';
+  RawClient usual(d.players);
+  usual.openWebSocket();
+  const std::string request = playRequest("a");
+  usual.send(RawClient::frame(request.substr(0, 10), firstText));
+  for (std::size_t at = 10; at < request.size(); at += 10) {
+    usual.send(RawClient::frame("", '\x89'));  // pings may come between the fragments
+    usual.send(RawClient::frame(request.substr(at, 10), continuation));
+  }
+  usual.send(RawClient::frame("", finalContinuation));
+  CHECK(contains(usual.read([](const std::string& s) { return contains(s, "throttled"); }), "throttled"));
+  RawClient abusive(d.players);
+  abusive.openWebSocket();
+  std::string bytes = RawClient::frame("{", firstText);
+  for (int i = 0; i < 200; ++i) bytes += RawClient::frame(" ", continuation);
+  abusive.send(bytes);
+  CHECK(abusive.closeCode() == 1008);
+}
+
+// Guards against memory that is taken by many messages of one client that never end.
+TEST_CASE("Unfinished gRPC messages of one connection are limited and the others go on") {
+  Director d;
+  const auto frame = [](char type, char flags, char stream, const std::string& payload) {
+    const auto size = static_cast<unsigned>(payload.size());
+    const std::string length{static_cast<char>(size >> 16), static_cast<char>(size >> 8 & 255),
+                             static_cast<char>(size & 255)};
+    return length + type + flags + std::string(3, '\0') + stream + payload;
+  };
+  const auto field = [](const std::string& name, const std::string& value) {
+    return std::string(1, '\0') + static_cast<char>(name.size()) + name + static_cast<char>(value.size()) +
+           value;
+  };
+  constexpr char data = 0, headers = 1, settings = 4, endHeaders = 4;
+  RawClient client(d.grpc);
+  client.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settings, 0, 0, ""));
+  const std::string head = field(":method", "POST") + field(":scheme", "http") + field(":authority", "x") +
+                           field(":path", "/lupinsill.session.v1.Sessions/Play") +
+                           field("content-type", "application/grpc") + field("te", "trailers");
+  // A message of 4,000 bytes of which the last ten are missing.
+  const std::string unfinished = std::string("\0\0\0\x0f\xa0", 5) + std::string(3'990, 'x');
+  for (char stream = 1; stream <= 15; stream = static_cast<char>(stream + 2)) {
+    client.send(frame(headers, endHeaders, stream, head));
+    client.send(frame(data, 0, stream, unfinished));
+  }
+  // The streams that the director has answered.
+  const auto endedStreams = [](const std::string& bytes) {
+    std::set<int> ended;
+    for (std::size_t at = 0; at + 9 <= bytes.size();) {
+      const auto byte = [&](std::size_t i) { return static_cast<unsigned char>(bytes[at + i]); };
+      if (byte(3) == headers) ended.insert(byte(8));
+      at += 9 + static_cast<std::size_t>(byte(0) << 16 | byte(1) << 8 | byte(2));
+    }
+    return ended;
+  };
+  const std::string answers =
+      client.read([&](const std::string& bytes) { return endedStreams(bytes).size() >= 4; });
+  CHECK(endedStreams(answers) == std::set<int>{9, 11, 13, 15});
+}
+
 TEST_CASE("A connection over the limit is refused at once with a retry time") {
   Director d("", "<limits connections=\"2\"/>");
   RawClient a(d.players), b(d.players);
--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -31,6 +31,18 @@
   CHECK(invalidFlag.fault() == MessageReader::Fault::badFlag);
 }
 
+// Guards against a paid request that runs twice because its client is told that a retry is safe.
+TEST_CASE("A call that ends on a fault of its client allows a retry only if its request was not passed on") {
+  for (const auto fault : {grpc::MessageReader::Fault::tooLarge, grpc::MessageReader::Fault::none}) {
+    CHECK(grpc::headerValue(grpc::trailersOf(fault, false), "grpc-status") == "8");
+    const grpc::Headers trailers = grpc::trailersOf(fault, true);
+    CHECK(grpc::headerValue(trailers, "grpc-status") == "10");
+    CHECK(grpc::headerValue(trailers, "grpc-retry-pushback-ms") == "-1");
+  }
+  CHECK(grpc::headerValue(grpc::trailersOf(grpc::MessageReader::Fault::badFlag, true), "grpc-status") ==
+        "13");
+}
+
 TEST_CASE("Timeouts are parsed in every unit, and invalid ones are rejected") {
   CHECK(parseTimeout("2S") == 2'000'000);
   CHECK(parseTimeout("1500m") == 1'500'000);
