A session that ended during a restart is released as its viewer reports it

Cause, by the debug log: the node repeats the release on the first connection that the new process opens, which the report of another session opened. Nodes::handleMessage dropped it, since nobody held the call yet; the report came 88 ms later and was adopted.

A session reported with such a release is adopted and ends in the same turn by the ordinary path: its viewer is told, its seat is free, and the node gets its acknowledgement. It works since the node's word is kept until the one it concerns has spoken.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "session/early_releases.h"
+
 namespace lupinsill::platform {
 
 using jsonl::Message;
@@ -22,6 +24,21 @@
   return message;
 }
 
+// Tells the node that the release of a call was received.
+Message makeReleaseReceived(const std::string& call) {
+  Message message;
+  message.op = Op::ended;
+  message.call = call;
+  return message;
+}
+
+// How a subscription that played has ended, by the reason code of its release.
+Outcome outcomeOfRelease(int reasonCode) {
+  if (reasonCode == reason_code::finished) return Outcome::ok;
+  if (reasonCode == reason_code::cancelled) return Outcome::cancelled;
+  return Outcome::reset;
+}
+
 }  // namespace
 
 struct Nodes::NodeConnection final : MessageStream::Handler {
@@ -55,6 +72,7 @@
   std::vector<std::unique_ptr<NodeConnection>> connections;  // newest last
   std::map<std::string, Join*> joins;                        // by call ID
   std::vector<Message> queuedMessages;                       // sent on the next connection that comes up
+  session::EarlyReleases earlyReleases;                      // empty once adoptions are no longer accepted
 };
 
 struct Nodes::Join {
@@ -368,6 +386,11 @@
 
 void Nodes::adopt(session::JoinId id, const fleet::NodeEndpoint& endpoint, const Call& call) {
   Node& node = nodeOf(endpoint);
+  if (const std::optional<Outcome> outcome = node.earlyReleases.take(call.id)) {
+    ++statistics_.earlyReleasesMatched;
+    sendOnConnection(node, makeReleaseReceived(call.id), nullptr);
+    return handler_.joinEnded(id, *outcome, {}, *outcome == Outcome::ok);
+  }
   auto newJoin = std::make_unique<Join>();
   Join& join = *newJoin;
   join.command.join = id;
@@ -444,16 +467,21 @@
   return report;
 }
 
+// Duplicates and messages for unknown calls are ignored, except for releases that may be of a subscription
+// which its viewer has not reported yet.
+void Nodes::handleUnknownCall(Node& node, const Message& message) {
+  ++statistics_.ignoredMessages;
+  if (message.op != Op::end || !handler_.acceptsAdoptions()) return;
+  if (node.earlyReleases.record(message.call, outcomeOfRelease(message.reasonCode)))
+    ++statistics_.earlyReleases;
+}
+
 void Nodes::handleMessage(NodeConnection& connection, Message& message) {
   Node& node = connection.node;
   node.liveness.recordActivity(net::unixNow());
   connection.lastActivity = net::unixNow();
   const auto it = node.joins.find(message.call);
-  // Duplicates and messages for unknown calls are ignored.
-  if (it == node.joins.end()) {
-    ++statistics_.ignoredMessages;
-    return;
-  }
+  if (it == node.joins.end()) return handleUnknownCall(node, message);
   Join& join = *it->second;
   const session::JoinId id = join.command.join;
   if (message.op == Op::accept) {
@@ -475,16 +503,9 @@
     const bool started = join.started;
     removeJoin(join);
     if (started) {
-      Message reply;
-      reply.op = Op::ended;
-      reply.call = message.call;
-      connection.stream.send(reply);
-      const bool finished = message.reasonCode == reason_code::finished;
-      handler_.joinEnded(id,
-                         finished                                       ? Outcome::ok
-                         : message.reasonCode == reason_code::cancelled ? Outcome::cancelled
-                                                                        : Outcome::reset,
-                         report, finished);
+      connection.stream.send(makeReleaseReceived(message.call));
+      const Outcome outcome = outcomeOfRelease(message.reasonCode);
+      handler_.joinEnded(id, outcome, report, outcome == Outcome::ok);
     } else {
       const int reasonCode = message.reasonCode;
       handler_.joinEnded(id,
@@ -586,6 +607,8 @@
         timedOut.push_back(connection.get());
   for (NodeConnection* connection : timedOut) handleConnectFailed(*connection, false);
   for (auto& [id, node] : nodes_) checkLiveness(*node, now);
+  if (!handler_.acceptsAdoptions())
+    for (auto& [id, node] : nodes_) node->earlyReleases.clear();
   std::vector<NodeConnection*> idle;
   for (auto& [id, node] : nodes_)
     if (node->removed && node->joins.empty())
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -39,6 +39,8 @@
                            bool finished) = 0;
     // The node reported a measurement of an established subscription.
     virtual void measured(session::JoinId join, MeasurementKind kind, double value) = 0;
+    // Whether viewers may still report subscriptions that played before this process started.
+    virtual bool acceptsAdoptions() = 0;
   };
   struct Limits {
     std::size_t maxConnections = 0;  // to all nodes together
@@ -47,7 +49,8 @@
   // Counters since start, and current sizes.
   struct Statistics {
     std::uint64_t connects = 0, connectsFailed = 0, connectionsLost = 0, invalidMessages = 0,
-                  ignoredMessages = 0, releasedOrphans = 0, nodesLost = 0, staleConnections = 0;
+                  ignoredMessages = 0, releasedOrphans = 0, nodesLost = 0, staleConnections = 0,
+                  earlyReleases = 0, earlyReleasesMatched = 0;
     std::size_t connections = 0, joins = 0, nodes = 0;
   };
 
@@ -56,7 +59,8 @@
 
   // Starts a join: offers the call to the node.
   void setUp(const session::SetUp& command, const fleet::NodeEndpoint& endpoint, const Call& call);
-  // Takes over a subscription that was playing at the node before this process started.
+  // Takes over a subscription that was playing at the node before this process started. If the node has
+  // released it already, joinEnded is called at once.
   void adopt(session::JoinId join, const fleet::NodeEndpoint& endpoint, const Call& call);
   // Tells the node, or if the offer is not written yet, offers the new rung.
   void changeRung(const session::ChangeRung& command);
@@ -93,6 +97,7 @@
   void sendToNode(Node& node, const jsonl::Message& message, NodeConnection* preferred = nullptr);
   void handleConnected(NodeConnection& connection);
   void handleMessage(NodeConnection& connection, jsonl::Message& message);
+  void handleUnknownCall(Node& node, const jsonl::Message& message);
   void handleClosed(NodeConnection& connection, MessageStream::CloseReason reason);
   void handleConnectFailed(NodeConnection& connection, bool refused);
   Micros connectTimeoutOf(const NodeConnection& connection) const;
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -69,6 +69,7 @@
   void measured(session::JoinId join, MeasurementKind kind, double value) override {
     front_.measured(join, kind, value);
   }
+  bool acceptsAdoptions() override { return viewers_->acceptsAdoptions(); }
 
   // Carries out a command of the front.
   void execute(const session::Command& command);
@@ -363,6 +364,8 @@
        {"broken", text(nodeStatistics.connectionsLost)},
        {"spoilt", text(nodeStatistics.invalidMessages)},
        {"passed-over", text(nodeStatistics.ignoredMessages)},
+       {"early-releases", text(nodeStatistics.earlyReleases)},
+       {"early-releases-matched", text(nodeStatistics.earlyReleasesMatched)},
        {"orphans", text(nodeStatistics.releasedOrphans)},
        {"vanished", text(nodeStatistics.nodesLost)},
        {"node-joins", text(nodeStatistics.joins)},
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -208,7 +208,7 @@
     return rejectInvalid(viewer, message.call);
   // A forged adoption would occupy a seat and a slot at its node for good: no node knows the subscription, so
   // none reports its end. Adoptions are therefore accepted only for a limited time after the start.
-  if (adoption && adoptionTimeLeft_ <= 0) return rejectInvalid(viewer, message.call);
+  if (adoption && !acceptsAdoptions()) return rejectInvalid(viewer, message.call);
   if (!adoption && viewer.pending.size() >= limits_.maxPendingPerConnection) {
     ++statistics_.flowLimited;
     Message reply;
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -66,6 +66,8 @@
   ~Viewers();
 
   int port() const;
+  // Whether viewers may still report subscriptions that played before this process started.
+  bool acceptsAdoptions() const { return adoptionTimeLeft_ > 0; }
   // Returns null if the call is over.
   Call* find(session::CallId callId);
   // Answer a request. `description` is the node's answer; retryAfter 0 gives no retry time.
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -314,6 +314,14 @@
     if (editConfiguration) editConfiguration(configuration);
     std::ofstream(file) << configuration.dump();
   }
+  // Ends the process with the signal, and starts it again after `whileDown`. It then listens on another port.
+  void restart(int signal, const std::function<void()>& whileDown = nullptr) {
+    kill(process, signal);
+    REQUIRE(exitCodeWithin(4'000));
+    if (whileDown) whileDown();
+    ::close(log);
+    start();
+  }
   void start() {
     int pipeEnds[2];
     REQUIRE(pipe(pipeEnds) == 0);
@@ -385,6 +393,25 @@
   return m;
 }
 
+// Reports a subscription that plays at the node since before the process started.
+inline Message makeAdoption(const std::string& call, std::size_t node, const std::string& room = "clip") {
+  Message m = makeOffer(call, room);
+  m.fields["extras"] += ";at:s-" + std::to_string(node);
+  return m;
+}
+
+// Returns once the director has processed everything that was sent on the connection before.
+inline void awaitProcessed(TestConnection& connection) {
+  connection.send(makeMessage(Op::test, "00000000000000ff"));
+  connection.expect(Op::tested, "00000000000000ff");
+}
+// Returns a connection on which the director has received a valid message.
+inline TestConnection verifiedViewer(const TestHarness& harness) {
+  TestConnection connection = harness.viewer();
+  awaitProcessed(connection);
+  return connection;
+}
+
 // An offer that a node has received, with its connection.
 struct ReceivedOffer {
   std::size_t node = 0;
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-// Returns once the director has processed everything that was sent on the connection before.
-void awaitProcessed(TestConnection& connection) {
-  connection.send(makeMessage(Op::test, "00000000000000ff"));
-  connection.expect(Op::tested, "00000000000000ff");
-}
 // Returns once the name server has received this many more queries.
 void awaitQueries(const StubNameServer& nameServer, int times) {
   const int until = nameServer.queryCount + times;
@@ -23,12 +18,6 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   REQUIRE(nameServer.queryCount >= until);
 }
-// Returns a connection on which the director has received a valid message.
-TestConnection verifiedViewer(const TestHarness& harness) {
-  TestConnection connection = harness.viewer();
-  awaitProcessed(connection);
-  return connection;
-}
 // Pauses the director during its lifetime, so that it finds all events of that time at once.
 struct PausedProcess {
   pid_t process;
