A report of a session that has ended is answered with its release and not adopted

What callers see (by a test, not seen in service): a viewer was told that its session is over while another report of it (`at`) was under way on another connection. That was adopted as a new session: no release followed, and session and seat stayed taken.

Cause: Viewers::handleOffer asked RecentCallIds about requests only, so a report with the ID of a call that is over was one that nobody holds.

Change: a report with such an ID is answered with a release on its own connection. It is not kept for retransmission, since the first release is, until it is acknowledged.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -189,6 +189,16 @@
   if (viewer.pending.empty() && viewer.established.empty()) closeConnection(viewer);
 }
 
+// Tells once more that a subscription has ended. Its release is retransmitted until it is acknowledged, so
+// this message is not.
+void Viewers::repeatRelease(ViewerConnection& viewer, const std::string& call) {
+  Message release;
+  release.op = Op::end;
+  release.call = call;
+  release.reasonCode = reason_code::failed;
+  viewer.stream.send(release);
+}
+
 void Viewers::handleOffer(ViewerConnection& viewer, const Message& message) {
   session::PlayRequest request;
   std::string node;
@@ -203,9 +213,12 @@
     if (existing->second->viewer == &viewer) return closeConnection(viewer);
     return rejectInvalid(viewer, message.call);
   }
-  // A request that may have run already must not run again, whoever sends its ID.
-  if (!adoption && recentIds_.contains(net::unixNow(), message.call))
+  if (recentIds_.contains(net::unixNow(), message.call)) {
+    // The subscription ended in this process, and the report has crossed its release.
+    if (adoption) return repeatRelease(viewer, message.call);
+    // A request that may have run already must not run again, whoever sends its ID.
     return rejectInvalid(viewer, message.call);
+  }
   // A forged adoption would occupy a seat and a slot at its node for good: no node knows the subscription, so
   // none reports its end. Adoptions are therefore accepted only for a limited time after the start.
   if (adoption && !acceptsAdoptions()) return rejectInvalid(viewer, message.call);
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -92,6 +92,7 @@
   void handleOffer(ViewerConnection& viewer, const jsonl::Message& message);
   bool parseOffer(const jsonl::Message& message, session::PlayRequest& request, std::string& node) const;
   void rejectInvalid(ViewerConnection& viewer, const std::string& call);
+  static void repeatRelease(ViewerConnection& viewer, const std::string& call);
   void handleRepeatedAdoption(ViewerConnection& viewer, const CallEntry& existing,
                               const jsonl::Message& message);
   void handleClosed(ViewerConnection& viewer);
--- a/tests/platform_restart_test.cpp
+++ b/tests/platform_restart_test.cpp
@@ -131,3 +131,22 @@
   side.connections[0].send(makeMessage(Op::end, playing, 16));
   CHECK(viewer.expect(Op::end, playing).reasonCode == 16);
 }
+
+// Guards against subscriptions that are over and held for ever: a report that crossed the release was taken
+// for that of another subscription.
+TEST_CASE("A subscription that has ended is not adopted again when it is reported once more") {
+  TestHarness harness(1, 1024, allowOneSeat);
+  TestConnection viewer = verifiedViewer(harness), other = harness.viewer();
+  const std::string call = harness.newCallId();
+  viewer.send(makeAdoption(call, 0, "paid"));
+  NodeSide side{harness.nodes[0], {}};
+  side.connections.push_back(harness.nodes[0].accept());
+  side.connections[0].send(makeMessage(Op::end, call, 16));
+  CHECK(viewer.expect(Op::end, call).reasonCode == 16);
+  other.send(makeAdoption(call, 0, "paid"));
+  const auto release = other.receive(1'000);
+  REQUIRE(release);
+  CHECK(release->op == Op::end);
+  CHECK(release->call == call);
+  CHECK(seatIsFree(harness, side, viewer));
+}
