A session reported at a node that has started anew since is over, and not held

What callers see (by a test, not seen in service): a media node starts anew just after a director did, and the list says so before a viewer reports a session that played at the old process. The session was adopted and never released; where the report came first, its viewer was told.

Cause: Nodes::listUpdated compares the start of the node with that of its joins as a list arrives; Nodes::adopt did not, and the new process of the node knows of no session to release. Ruled out: a list that was not heard (the test waits for two queries, and the other order passed before).

Change: what is reported at a node that started after this process ends as reset in the turn of its adoption, as it played before this process.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -86,7 +86,7 @@
 };
 
 Nodes::Nodes(event_base* base, Handler& handler, Limits limits)
-    : base_(base), handler_(handler), limits_(limits) {}
+    : base_(base), handler_(handler), limits_(limits), startedAt_(net::unixNow()) {}
 Nodes::~Nodes() = default;
 
 Nodes::Join* Nodes::findJoin(session::JoinId id) {
@@ -384,13 +384,21 @@
   node.joins[join.call.id] = &join;
 }
 
+// Returns how the subscription ended if the node has released it already, and acknowledges that.
+std::optional<Outcome> Nodes::takeEarlyRelease(Node& node, const std::string& call) {
+  const std::optional<Outcome> outcome = node.earlyReleases.take(call);
+  if (!outcome) return std::nullopt;
+  ++statistics_.earlyReleasesMatched;
+  sendOnConnection(node, makeReleaseReceived(call), nullptr);
+  return outcome;
+}
+
 void Nodes::adopt(session::JoinId id, const fleet::NodeEndpoint& endpoint, const Call& call) {
   Node& node = nodeOf(endpoint);
-  if (const std::optional<Outcome> outcome = node.earlyReleases.take(call.id)) {
-    ++statistics_.earlyReleasesMatched;
-    sendOnConnection(node, makeReleaseReceived(call.id), nullptr);
+  if (const std::optional<Outcome> outcome = takeEarlyRelease(node, call.id))
     return handler_.joinEnded(id, *outcome, {}, *outcome == Outcome::ok);
-  }
+  // The subscription ended with the process of its node that was there before.
+  if (node.endpoint.readyAt > startedAt_) return handler_.joinEnded(id, Outcome::reset, {}, false);
   auto newJoin = std::make_unique<Join>();
   Join& join = *newJoin;
   join.command.join = id;
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,8 +60,8 @@
 
   // Starts a join: offers the call to the node.
   void setUp(const session::SetUp& command, const fleet::NodeEndpoint& endpoint, const Call& call);
-  // Takes over a subscription that was playing at the node before this process started. If the node has
-  // released it already, joinEnded is called at once.
+  // Takes over a subscription that was playing at the node before this process started. If it is known to
+  // have ended, joinEnded is called at once.
   void adopt(session::JoinId join, const fleet::NodeEndpoint& endpoint, const Call& call);
   // Tells the node, or if the offer is not written yet, offers the new rung.
   void changeRung(const session::ChangeRung& command);
@@ -97,6 +98,7 @@
   void sendToNode(Node& node, const jsonl::Message& message, NodeConnection* preferred = nullptr);
   void handleConnected(NodeConnection& connection);
   void handleMessage(NodeConnection& connection, jsonl::Message& message);
+  std::optional<Outcome> takeEarlyRelease(Node& node, const std::string& call);
   void handleUnknownCall(Node& node, const jsonl::Message& message);
   void handleClosed(NodeConnection& connection, MessageStream::CloseReason reason);
   void handleConnectFailed(NodeConnection& connection, bool refused);
@@ -119,6 +121,7 @@
   event_base* base_;
   Handler& handler_;
   Limits limits_;
+  const Micros startedAt_;  // when this process started
   std::map<NodeId, std::unique_ptr<Node>> nodes_;
   std::map<session::JoinId, std::unique_ptr<Join>> joins_;
   std::size_t connectionCount_ = 0;                                 // to all nodes
--- a/tests/platform_harness.h
+++ b/tests/platform_harness.h
@@ -405,6 +405,13 @@
   connection.send(makeMessage(Op::test, "00000000000000ff"));
   connection.expect(Op::tested, "00000000000000ff");
 }
+// Returns once the name server has received this many more queries.
+inline void awaitQueries(const StubNameServer& nameServer, int times) {
+  const int until = nameServer.queryCount + times;
+  for (int i = 0; i < 1'000 && nameServer.queryCount < until; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  REQUIRE(nameServer.queryCount >= until);
+}
 // Returns a connection on which the director has received a valid message.
 inline TestConnection verifiedViewer(const TestHarness& harness) {
   TestConnection connection = harness.viewer();
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -11,13 +11,6 @@
 
 namespace {
 
-// Returns once the name server has received this many more queries.
-void awaitQueries(const StubNameServer& nameServer, int times) {
-  const int until = nameServer.queryCount + times;
-  for (int i = 0; i < 1'000 && nameServer.queryCount < until; ++i)
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  REQUIRE(nameServer.queryCount >= until);
-}
 // Pauses the director during its lifetime, so that it finds all events of that time at once.
 struct PausedProcess {
   pid_t process;
--- a/tests/platform_restart_test.cpp
+++ b/tests/platform_restart_test.cpp
@@ -150,3 +150,23 @@
   CHECK(release->call == call);
   CHECK(seatIsFree(harness, side, viewer));
 }
+
+// Guards against subscriptions that are over and held for ever: their node had started anew, so no release
+// could follow, and the list had said so before the viewer's report.
+TEST_CASE("A subscription is over if its node has started anew since the process started") {
+  TestHarness harness(1);
+  TestConnection viewer = verifiedViewer(harness), other = verifiedViewer(harness);
+  const std::string call = harness.newCallId();
+  const bool listFirst = GENERATE(true, false);
+  CAPTURE(listFirst);
+  if (!listFirst) viewer.send(makeAdoption(call, 0));
+  auto rows = harness.nodeRows();
+  rows[0].started = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+  harness.nameServer->set(2, rows);
+  awaitQueries(*harness.nameServer, 2);
+  awaitProcessed(other);
+  if (listFirst) viewer.send(makeAdoption(call, 0));
+  CHECK(viewer.expect(Op::end, call).reasonCode == 41);
+}
