A connection that is lost before a report leads to a new one, on which releases are repeated

What callers see (by a test, not seen in service): just after a start one of two connections to a media node breaks; then a viewer reports a session there. A release that the node had sent on the broken connection was never heard, since no next connection was opened while the node was heard on the other one.

Ruled out: the probe of a silent node (the node speaks on the other connection in the test, as media nodes do).

Change: while reports are accepted, a loss is recorded also where no session is known; the new connection is opened as soon as one is.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -204,11 +204,12 @@
 }
 
 // The node sends the release of a subscription on the connection of its set-up or, if that is closed, on any
-// other, and then on the next one that it accepts.
+// other, and then on the next one that it accepts. A subscription that was released on a lost connection may
+// not have been reported yet.
 void Nodes::recordConnectionLost(Node& node) {
   const bool hasSubscriptions = std::any_of(node.joins.begin(), node.joins.end(),
                                             [](const auto& entry) { return entry.second->started; });
-  if (hasSubscriptions) node.liveness.recordConnectionLost(net::unixNow());
+  if (hasSubscriptions || handler_.acceptsAdoptions()) node.liveness.recordConnectionLost(net::unixNow());
 }
 
 // Closes a connection that takes no new offers once no answer is pending on it. Until then the node may have
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -105,7 +105,7 @@
   Micros connectTimeoutOf(const NodeConnection& connection) const;
   void removeConnection(NodeConnection& connection);
   void removeIfDrained(NodeConnection& connection);
-  static void recordConnectionLost(Node& node);
+  void recordConnectionLost(Node& node);
   void releaseOrphan(Node& node, const std::string& call);
   void releaseAtUnreachable(Node& node, const std::string& call);
   void removeJoin(Join& join);
--- a/tests/platform_restart_test.cpp
+++ b/tests/platform_restart_test.cpp
@@ -170,3 +170,32 @@
   if (listFirst) viewer.send(makeAdoption(call, 0));
   CHECK(viewer.expect(Op::end, call).reasonCode == 41);
 }
+
+// Guards against releases that are never heard: the connection on which one was sent was lost before the
+// subscription was reported, and no other was opened for the node to repeat it.
+TEST_CASE(
+    "After a connection is lost before a report, a new one is opened on which the node repeats releases") {
+  TestHarness harness(1);
+  TestConnection viewer = verifiedViewer(harness);
+  const std::string onLost = harness.newCallId(), onOther = harness.newCallId(), call = harness.newCallId();
+  viewer.send(makeOffer(onLost, "paid", 900));
+  ReceivedOffer lost = awaitOffer(harness, onLost);
+  viewer.send(makeOffer(onOther));
+  ReceivedOffer other = awaitOffer(harness, onOther);
+  lost.connection.reset();
+  CHECK(viewer.expect(Op::end, onLost).reasonCode == 41);
+  other.connection.send(makeAccept(onOther));
+  viewer.expect(Op::accept, onOther);
+  viewer.send(makeAdoption(call, 0));
+  // Meanwhile the node is heard on the other connection.
+  Message info = makeMessage(Op::info, onOther);
+  info.fields = {{"note", "fill"}, {"value", "0.97"}};
+  std::optional<TestConnection> next;
+  for (int i = 0; i < 30 && !next; ++i) {
+    other.connection.send(info);
+    next = harness.nodes[0].tryAccept(100);
+  }
+  REQUIRE(next);
+  next->send(makeMessage(Op::end, call, 16));
+  CHECK(viewer.expect(Op::end, call).reasonCode == 16);
+}
