A release without its connection goes to a client that serves viewers

Cause: Viewers::sendRelease chose the newest connection on which anything valid had been read.

Change: session::suitabilityForRelease: clients that hold sessions or have acknowledged a release sent to them come first, then other verified ones, the newest first in each group. Tried in the test and taken out there: taking back requests at the node, whose connection the director then closes as suspect; health checks make a connection verified just as well.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "session/release_routing.h"
+
 namespace lupinsill::platform {
 
 using jsonl::Message;
@@ -29,10 +31,12 @@
     if (reason == MessageStream::CloseReason::invalidMessage) ++owner.statistics_.invalidMessages;
     owner.handleClosed(*this);
   }
+  session::ClientEvidence evidence() const { return {verified, !established.empty(), acknowledgedRelease}; }
   Viewers& owner;
   std::uint64_t id;
-  Micros lastActivity;    // when it was accepted, later when it was last used
-  bool verified = false;  // has sent a valid request or health check
+  Micros lastActivity;               // when it was accepted, later when it was last used
+  bool verified = false;             // has sent a valid request or health check
+  bool acknowledgedRelease = false;  // at least one that was sent here
   std::map<session::CallId, CallEntry*> pending, established;  // in order of arrival
   std::map<std::string, Release> unacknowledged;               // releases sent here, by call ID
   MessageStream stream;
@@ -170,7 +174,7 @@
       return;
     }
     case Op::ended:
-      viewer.unacknowledged.erase(message.call);
+      if (viewer.unacknowledged.erase(message.call) != 0) viewer.acknowledgedRelease = true;
       return;
     default:
       return;
@@ -330,13 +334,16 @@
   calls_.erase(std::string(entry.call.id));
 }
 
-// Sends on the connection of the call, or else on the newest verified one. If there is none, queues the
-// release for the next connection that is verified.
+// Sends on the connection of the call, or else on the newest of the most suitable ones. If there is none,
+// queues the release for the next connection that is verified.
 void Viewers::sendRelease(const Release& release, ViewerConnection* preferred) {
   if (net::unixNow() - release.endedAt > releaseLifetime) return;
   if (preferred != nullptr && sendReleaseOn(*preferred, release)) return;
-  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it)
-    if (it->second->verified && sendReleaseOn(*it->second, release)) return;
+  for (const session::ReleaseSuitability wanted : session::releaseRoutingOrder)
+    for (auto it = connections_.rbegin(); it != connections_.rend(); ++it)
+      if (session::suitabilityForRelease(it->second->evidence()) == wanted &&
+          sendReleaseOn(*it->second, release))
+        return;
   if (queuedReleases_.size() >= maxQueuedReleases) queuedReleases_.pop_front();
   queuedReleases_.push_back(release);
 }
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -284,6 +284,34 @@
   CHECK(!other.receive(300));  // the release was acknowledged, so it is not retransmitted
 }
 
+// Guards against releases that reach no viewer: one without its connection went to the newest client, also to
+// one that serves nobody.
+TEST_CASE(
+    "A release without its connection goes to a client that holds subscriptions or acknowledges releases") {
+  TestHarness harness(1);
+  const bool holdsSubscription = GENERATE(true, false);
+  CAPTURE(holdsSubscription);
+  TestConnection usual = verifiedViewer(harness), leaving = verifiedViewer(harness);
+  const std::string ofUsual = harness.newCallId(), call = harness.newCallId();
+  usual.send(makeAdoption(ofUsual, 0));
+  leaving.send(makeAdoption(call, 0));
+  TestConnection node = harness.nodes[0].accept();
+  if (!holdsSubscription) {
+    node.send(makeMessage(Op::end, ofUsual, 16));
+    usual.expect(Op::end, ofUsual);
+    usual.send(makeMessage(Op::ended, ofUsual));
+  }
+  awaitProcessed(usual);
+  awaitProcessed(leaving);
+  leaving.close();
+  TestConnection bad = verifiedViewer(harness);
+  bad.send(makeMessage(Op::ended, call));  // acknowledges what was not sent to it
+  awaitProcessed(bad);
+  node.send(makeMessage(Op::end, call, 16));
+  CHECK(usual.expect(Op::end, call).reasonCode == 16);
+  CHECK(!bad.receive(100));
+}
+
 TEST_CASE("A release without a connection waits for a verified one and is sent once") {
   TestHarness harness(1);
   TestConnection viewer = verifiedViewer(harness);
