A removed media node is kept until no join refers to it, also none that waits

Cause, by AddressSanitizer: such a list is confirmed in the housekeeping of the loop; Nodes::tick runs next and freed a removed node without written joins; the turn after that withdrew a join that waited for a connection, and removeJoin read the freed node. Ruled out: the connection freed under the join (closed ones are kept for a tick).

Change: a node lives until no join refers to it, written or waiting (Node::hasJoins). The turn withdraws the waiting ones, and the next tick frees the node.

The other pointers that outlive a turn were not walked through; that is in the roadmap.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -66,11 +66,17 @@
 
 struct Nodes::Node {
   Node(const fleet::NodeEndpoint& nodeEndpoint, Micros now) : endpoint(nodeEndpoint), liveness(now) {}
+  // Whether a join refers to this node, be it written or waiting for a connection.
+  bool hasJoins() const {
+    return !joins.empty() || std::any_of(connections.begin(), connections.end(), [](const auto& connection) {
+      return !connection->awaitingConnect.empty();
+    });
+  }
   fleet::NodeEndpoint endpoint;
   fleet::LivenessCheck liveness;
   bool removed = false;                                      // from the node list
   std::vector<std::unique_ptr<NodeConnection>> connections;  // newest last
-  std::map<std::string, Join*> joins;                        // by call ID
+  std::map<std::string, Join*> joins;                        // that were written, by call ID
   std::vector<Message> queuedMessages;                       // sent on the next connection that comes up
   session::EarlyReleases earlyReleases;                      // empty once adoptions are no longer accepted
 };
@@ -620,11 +626,12 @@
     for (auto& [id, node] : nodes_) node->earlyReleases.clear();
   std::vector<NodeConnection*> idle;
   for (auto& [id, node] : nodes_)
-    if (node->removed && node->joins.empty())
+    if (node->removed && !node->hasJoins())
       for (const auto& connection : node->connections) idle.push_back(connection.get());
   for (NodeConnection* connection : idle) removeConnection(*connection);
   std::erase_if(nodes_, [](const auto& entry) {
-    return entry.second->removed && entry.second->joins.empty() && entry.second->connections.empty();
+    const Node& node = *entry.second;
+    return node.removed && !node.hasJoins() && node.connections.empty();
   });
 }
 
--- a/tests/platform_races_test.cpp
+++ b/tests/platform_races_test.cpp
@@ -193,6 +193,22 @@
   CHECK(viewer.expect(Op::end, call).reasonCode == 16);
 }
 
+// Guards against a read of freed memory: the node was freed in the pass that took it off the list, before the
+// join that waited for a connection to it was withdrawn.
+TEST_CASE(
+    "A join that waits for a connection survives the removal of its node, and its request is answered") {
+  TestHarness harness(1, 1024, useLongConnectTimeout);
+  TestConnection viewer = verifiedViewer(harness);
+  BacklogFullNode node(harness.nodes[0]);
+  const std::string call = harness.newCallId();
+  viewer.send(makeOffer(call, "paid", 15'000));
+  awaitProcessed(viewer);
+  harness.nameServer->set(2, {});                        // takes effect after half of the grace
+  CHECK(viewer.expect(Op::end, call).reasonCode == 34);  // the join was not written
+  awaitProcessed(viewer);
+  CHECK(!harness.exitCodeWithin(100));
+}
+
 // Guards against subscriptions that play on for nobody while their seats are given out again: a node was
 // given up 4 s into a cut of up to 6 s, and nothing was released there when it was heard again.
 TEST_CASE(
