platform::Nodes: one function for each kind of message from a node

Change: handleAccept, handleRelease, handleRefusal and handleMeasurement; the outcome of a reason code and the load report of a message are functions of their own. No behaviour is meant to change, and no test is changed.

--- a/src/platform/nodes.cpp
+++ b/src/platform/nodes.cpp
@@ -39,6 +39,20 @@
   return Outcome::reset;
 }
 
+// How a join that had not started has ended, by the reason code of its rejection.
+Outcome outcomeOfRefusal(int reasonCode) {
+  if (reasonCode == reason_code::noCapacity) return Outcome::full;
+  if (reasonCode == reason_code::nodeError) return Outcome::error;
+  if (reasonCode == reason_code::notSent) return Outcome::notSent;
+  return Outcome::reset;
+}
+
+// Returns the load report of a message, or an empty one.
+LoadReport loadReportOf(const Message& message) {
+  const std::string* load = message.find("load");
+  return load == nullptr ? LoadReport{} : parseLoadReport(*load);
+}
+
 }  // namespace
 
 struct Nodes::NodeConnection final : MessageStream::Handler {
@@ -498,52 +512,55 @@
   const auto it = node.joins.find(message.call);
   if (it == node.joins.end()) return handleUnknownCall(node, message);
   Join& join = *it->second;
-  const session::JoinId id = join.command.join;
-  if (message.op == Op::accept) {
-    if (join.started || join.connection != &connection) return void(++statistics_.ignoredMessages);
-    if (!message.description || message.description->empty())
-      return connection.stream.close(), handleClosed(connection, MessageStream::CloseReason::invalidMessage);
-    join.started = true;
-    join.startedAt = net::unixNow();
-    std::erase(connection.pending, &join);
-    connection.established.push_back(&join);
-    handler_.joinStarted(id, *message.description);
-    removeIfDrained(connection);
-    return;
-  }
-  if (message.op == Op::end) {
-    if (!join.started && join.connection != &connection) return void(++statistics_.ignoredMessages);
-    const std::string* load = message.find("load");
-    const LoadReport report = load == nullptr ? LoadReport{} : parseLoadReport(*load);
-    const bool started = join.started;
-    removeJoin(join);
-    if (started) {
-      connection.stream.send(makeReleaseReceived(message.call));
-      const Outcome outcome = outcomeOfRelease(message.reasonCode);
-      handler_.joinEnded(id, outcome, report, outcome == Outcome::ok);
-    } else {
-      const int reasonCode = message.reasonCode;
-      handler_.joinEnded(id,
-                         reasonCode == reason_code::noCapacity  ? Outcome::full
-                         : reasonCode == reason_code::nodeError ? Outcome::error
-                         : reasonCode == reason_code::notSent   ? Outcome::notSent
-                                                                : Outcome::reset,
-                         report, false);
-      removeIfDrained(connection);
-    }
-    return;
-  }
-  if (message.op == Op::info && join.started) {
-    const std::string* value = message.find("value");
-    const std::string* note = message.find("note");
-    if (value == nullptr || note == nullptr) return;
-    const auto number = jsonl::parseNumber(*value, 0, 1e6);
-    if (!number) return;
-    if (*note == "fill") handler_.measured(id, MeasurementKind::delivered, *number);
-    if (*note == "grade") handler_.measured(id, MeasurementKind::rung, *number);
-    if (*note == "local") handler_.measured(id, MeasurementKind::link, *number);
-    if (*note == "upstream") handler_.measured(id, MeasurementKind::uplink, *number);
+  if (message.op == Op::accept) return handleAccept(connection, join, message);
+  if (message.op == Op::end && join.started) return handleRelease(connection, join, message);
+  if (message.op == Op::end) return handleRefusal(connection, join, message);
+  if (message.op == Op::info && join.started) handleMeasurement(join, message);
+}
+
+void Nodes::handleAccept(NodeConnection& connection, Join& join, const Message& message) {
+  if (join.started || join.connection != &connection) return void(++statistics_.ignoredMessages);
+  if (!message.description || message.description->empty()) {
+    connection.stream.close();
+    return handleClosed(connection, MessageStream::CloseReason::invalidMessage);
   }
+  join.started = true;
+  join.startedAt = net::unixNow();
+  std::erase(connection.pending, &join);
+  connection.established.push_back(&join);
+  handler_.joinStarted(join.command.join, *message.description);
+  removeIfDrained(connection);
+}
+
+// The subscription of a started join has ended.
+void Nodes::handleRelease(NodeConnection& connection, Join& join, const Message& message) {
+  const session::JoinId id = join.command.join;
+  removeJoin(join);
+  connection.stream.send(makeReleaseReceived(message.call));
+  const Outcome outcome = outcomeOfRelease(message.reasonCode);
+  handler_.joinEnded(id, outcome, loadReportOf(message), outcome == Outcome::ok);
+}
+
+// The node has rejected a join.
+void Nodes::handleRefusal(NodeConnection& connection, Join& join, const Message& message) {
+  if (join.connection != &connection) return void(++statistics_.ignoredMessages);
+  const session::JoinId id = join.command.join;
+  removeJoin(join);
+  handler_.joinEnded(id, outcomeOfRefusal(message.reasonCode), loadReportOf(message), false);
+  removeIfDrained(connection);
+}
+
+void Nodes::handleMeasurement(const Join& join, const Message& message) {
+  const std::string* value = message.find("value");
+  const std::string* note = message.find("note");
+  if (value == nullptr || note == nullptr) return;
+  const auto number = jsonl::parseNumber(*value, 0, 1e6);
+  if (!number) return;
+  const session::JoinId id = join.command.join;
+  if (*note == "fill") handler_.measured(id, MeasurementKind::delivered, *number);
+  if (*note == "grade") handler_.measured(id, MeasurementKind::rung, *number);
+  if (*note == "local") handler_.measured(id, MeasurementKind::link, *number);
+  if (*note == "upstream") handler_.measured(id, MeasurementKind::uplink, *number);
 }
 
 // ---- lost and replaced nodes ----
--- a/src/platform/nodes.h
+++ b/src/platform/nodes.h
@@ -100,6 +100,10 @@
   void handleMessage(NodeConnection& connection, jsonl::Message& message);
   std::optional<Outcome> takeEarlyRelease(Node& node, const std::string& call);
   void handleUnknownCall(Node& node, const jsonl::Message& message);
+  void handleAccept(NodeConnection& connection, Join& join, const jsonl::Message& message);
+  void handleRelease(NodeConnection& connection, Join& join, const jsonl::Message& message);
+  void handleRefusal(NodeConnection& connection, Join& join, const jsonl::Message& message);
+  void handleMeasurement(const Join& join, const jsonl::Message& message);
   void handleClosed(NodeConnection& connection, MessageStream::CloseReason reason);
   void handleConnectFailed(NodeConnection& connection, bool refused);
   Micros connectTimeoutOf(const NodeConnection& connection) const;
