Late reports with the ID of a call that is over are rejected as before

Cause: answered every report with the ID of a call that is over with a release, also after the time in which reports are accepted.

Change: the release is sent while reports are accepted; after that, the report is rejected as it was before.

--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -218,8 +218,8 @@
     return rejectInvalid(viewer, message.call);
   }
   if (recentIds_.contains(net::unixNow(), message.call)) {
-    // The subscription ended in this process, and the report has crossed its release.
-    if (adoption) return repeatRelease(viewer, message.call);
+    // The subscription ended in this process, and its report has crossed the release.
+    if (adoption && acceptsAdoptions()) return repeatRelease(viewer, message.call);
     // A request that may have run already must not run again, whoever sends its ID.
     return rejectInvalid(viewer, message.call);
   }
